--- /dev/null
+++ b/src/core/autoscale.ts
@@ -0,0 +1,125 @@
+import { allowed, emptyRoom, fill, type Room, slots } from './room.js';
+import type { MachineType, Want } from './types.js';
+
+export interface Rental {
+  type: string;
+  zone: string;
+  spot: boolean;
+  n: number;
+}
+
+/** Refused rentals are remembered per type, zone and kind, with growing pauses. */
+export class Capacity {
+  private readonly blocked = new Map<string, { until: number; pause: number }>();
+
+  constructor(private readonly firstMs: number) {}
+
+  static key(r: { type: string; zone: string; spot: boolean }): string {
+    return `${r.type}|${r.zone}|${r.spot ? 's' : 'o'}`;
+  }
+
+  open(r: { type: string; zone: string; spot: boolean }, now: number): boolean {
+    const b = this.blocked.get(Capacity.key(r));
+    return !b || b.until <= now;
+  }
+
+  refused(r: { type: string; zone: string; spot: boolean }, now: number): void {
+    const k = Capacity.key(r);
+    const pause = Math.min(60000, (this.blocked.get(k)?.pause ?? this.firstMs / 2) * 2);
+    this.blocked.set(k, { until: now + pause, pause });
+  }
+
+  filled(r: { type: string; zone: string; spot: boolean }): void {
+    this.blocked.delete(Capacity.key(r));
+  }
+
+  /** A machine came free again. */
+  freed(r: { type: string; zone: string; spot: boolean }): void {
+    const b = this.blocked.get(Capacity.key(r));
+    if (b) b.until = 0;
+  }
+}
+
+export interface ScaleInput {
+  /** Wants that found no room, in order of rank, with the number of tasks left. */
+  left: { want: Want; count: number }[];
+  /** Rooms of machines that are rented and not yet up. */
+  coming: Room[];
+  types: MachineType[];
+  capacity: Capacity;
+  now: number;
+  /** Span over which boot and image fetch are paid off. */
+  amortizeS: number;
+  scarceZone: string | null;
+  maxRentals: number;
+}
+
+/** Chooses rentals for work without room: the cheapest place per task, boot and image fetch included. */
+export function planRentals(i: ScaleInput): Rental[] {
+  const rooms = [...i.coming];
+  const out = new Map<string, Rental>();
+  const rest = i.left.map((l) => ({
+    want: l.want,
+    count: fill(rooms, l.want, l.count, i.scarceZone, () => {}),
+  }));
+  let budget = i.maxRentals;
+  for (let k = 0; k < rest.length && budget > 0; k++) {
+    const { want } = rest[k]!;
+    // Room rented for an earlier want may have space for this one.
+    let count = fill(rooms, want, rest[k]!.count, i.scarceZone, () => {});
+    let guard = 64;
+    while (count > 0 && budget > 0 && guard-- > 0) {
+      const alike = similar(rest, k);
+      const c = cheapest(i, want, Math.max(count, alike));
+      if (!c) break;
+      const key = Capacity.key({ type: c.type.name, zone: c.zone, spot: c.spot });
+      const r = out.get(key) ?? { type: c.type.name, zone: c.zone, spot: c.spot, n: 0 };
+      r.n++;
+      out.set(key, r);
+      budget--;
+      rooms.push(emptyRoom(c.type, c.zone, c.spot, ''));
+      const before = count;
+      count = fill(rooms, want, count, i.scarceZone, () => {});
+      if (count === before && !want.whole) break;
+    }
+  }
+  return [...out.values()];
+}
+
+/** Tasks of this and later wants that could share a machine rented for this one. */
+function similar(rest: { want: Want; count: number }[], from: number): number {
+  const w = rest[from]!.want;
+  let n = 0;
+  for (let k = from; k < rest.length; k++) {
+    const o = rest[k]!;
+    if (o.want.spot === w.spot && o.want.types === null) n += (o.count * o.want.cpus) / Math.max(0.1, w.cpus);
+  }
+  return Math.ceil(n);
+}
+
+function cheapest(
+  i: ScaleInput,
+  w: Want,
+  count: number,
+): { type: MachineType; zone: string; spot: boolean } | null {
+  let found: { type: MachineType; zone: string; spot: boolean } | null = null;
+  let cost = Number.POSITIVE_INFINITY;
+  for (const type of i.types) {
+    const per = slots(type, w);
+    if (per < 1) continue;
+    for (const zone of type.zones) {
+      for (const spot of w.spot ? [true, false] : [false]) {
+        const at = { type: type.name, zone, spot };
+        if (!allowed(at, w) || !i.capacity.open(at, i.now)) continue;
+        const wait = type.bootS + w.imageGb / Math.max(0.01, type.fetchGbPerS);
+        let c = ((spot ? type.spotPrice : type.price) / Math.min(per, count)) * (1 + wait / i.amortizeS);
+        if (zone === i.scarceZone && !w.zoneRoom) c *= 1.5;
+        if (c < cost) {
+          cost = c;
+          found = { type, zone, spot };
+        }
+      }
+    }
+  }
+  return found;
+}
--- /dev/null
+++ b/src/core/controller.ts
@@ -0,0 +1,637 @@
+import { Door } from './door.js';
+import { Keeper } from './keeper.js';
+import { Mirror } from './mirror.js';
+import { Owner } from './owner.js';
+import type { PolicyFn } from './policy.js';
+import type {
+  Clock,
+  CloudPort,
+  KeeperMsg,
+  Logger,
+  MachineType,
+  OwnerMsg,
+  StatePort,
+  Team,
+  Then,
+  WorkerCommand,
+  WorkerPort,
+  WorkerReport,
+} from './types.js';
+
+/** What controllers say to one another. */
+export type MeshBody =
+  | { k: 'ping'; leader: string; token: number; stateOk: boolean }
+  | { k: 'owner'; to: string; m: OwnerMsg }
+  | { k: 'keeper'; to: string; m: KeeperMsg };
+export interface MeshMsg {
+  host: string;
+  inst: string;
+  seq: number;
+  body: MeshBody;
+}
+export interface MeshPort {
+  send(host: string, m: MeshMsg): void;
+}
+
+export interface ControllerOptions {
+  host: string;
+  inst: string;
+  peers: string[];
+  teams: Team[];
+  workers: { reportS: number; leaseS: number; cancelS: number };
+  state: { valueKb: number; txnOps: number };
+  listLagS: number;
+  /** Lease of a controller's record, in ms. */
+  ttlMs: number;
+  policy: PolicyFn;
+  clock: Clock;
+  log: Logger;
+  statePort: StatePort;
+  cloud: CloudPort;
+  worker: WorkerPort;
+  mesh: MeshPort;
+}
+
+interface NodeRecord {
+  inst: string;
+  lease: number;
+}
+interface LeaderRecord {
+  inst: string;
+  host: string;
+  token: number;
+}
+
+type Command =
+  | { k: 'mesh'; m: MeshMsg }
+  | { k: 'link'; host: string; up: boolean }
+  | { k: 'reply'; run: () => void }
+  | { k: 'tick' };
+
+export type ReportAnswer =
+  | { s: 'ok'; token: number; cmds: WorkerCommand[] }
+  | { s: 'other'; keeper: string | null }
+  | { s: 'later' };
+
+/** One process's state: its lease and parts, owner, keeper and door. All changes come through one queue. */
+export class Controller {
+  readonly door: Door;
+  private readonly owner: Owner;
+  private keeper: Keeper | null = null;
+  private readonly sys: Mirror;
+  private readonly open: Mirror;
+  private readonly state: StatePort;
+  private readonly queue: Command[] = [];
+  private scheduled = false;
+  private seq = 0;
+  private lease = 0;
+  private leaseAt = 0;
+  private leaseBusy = false;
+  private predecessorDone = false;
+  private leaderMark = 0;
+  private electing = false;
+  private noElectUntil = 0;
+  private electAt = 0;
+  private parting = false;
+  private rebalanceAt = 0;
+  private ledToken = 0;
+  private ledAt = 0;
+  private readonly superseded = new Set<string>();
+  private raiseAt = 0;
+  private stateOkAt: number;
+  private leader: LeaderRecord = { inst: '', host: '', token: 0 };
+  private heard = new Map<string, { inst: string; at: number; seq: number; stateOk: boolean }>();
+  private types: MachineType[] = [];
+  private typesAt = Number.NEGATIVE_INFINITY;
+  private typesBusy = false;
+  private readonly teams: Map<string, Team>;
+
+  constructor(private readonly o: ControllerOptions) {
+    this.teams = new Map(o.teams.map((t) => [t.name, t]));
+    this.stateOkAt = o.clock.now() - 1e6;
+    this.state = this.watched(o.statePort);
+    this.door = new Door(
+      this.state,
+      this.teams,
+      () => this.types,
+      o.log,
+      () => o.clock.wall(),
+    );
+    const cloud = this.queuedCloud(o.cloud);
+    this.owner = new Owner({
+      inst: o.inst,
+      teams: this.teams,
+      valueKb: o.state.valueKb,
+      txnOps: o.state.txnOps,
+      batch: Math.max(1, Math.round(o.policy(NO_INPUT).batch_tasks)),
+      noticeGraceS: 1,
+      state: this.state,
+      clock: o.clock,
+      log: o.log,
+      send: (m) => this.toKeeper(m),
+      wake: () => this.wake(),
+    });
+    this.cloud = cloud;
+    this.sys = new Mirror('sys/', 10000, this.state, o.clock, (key) => this.sysChanged(key));
+    this.open = new Mirror('open/', 10000, this.state, o.clock, (key, value, version) => {
+      if (value === undefined) return;
+      const [, id, part] = key.split('/');
+      if (id && part) this.owner.openChanged(id, part, value, version);
+    });
+  }
+
+  private readonly cloud: CloudPort;
+
+  start(): void {
+    this.sys.start();
+    this.open.start();
+    const beat = () => {
+      this.push({ k: 'tick' });
+      this.o.clock.after(500, beat);
+    };
+    beat();
+  }
+
+  // ---- the queue --------------------------------------------------------------------------------------
+
+  push(c: Command): void {
+    this.queue.push(c);
+    this.wake();
+  }
+
+  private wake(): void {
+    if (this.scheduled) return;
+    this.scheduled = true;
+    this.o.clock.soon(() => this.run());
+  }
+
+  private run(): void {
+    this.scheduled = false;
+    for (const c of this.queue.splice(0)) this.handle(c);
+    this.owner.flush();
+    this.keeper?.flush();
+  }
+
+  private handle(c: Command): void {
+    switch (c.k) {
+      case 'reply':
+        return c.run();
+      case 'tick':
+        return this.tick();
+      case 'mesh':
+        return this.fromMesh(c.m);
+      case 'link':
+        return this.link(c.host, c.up);
+    }
+  }
+
+  private reply<T>(cb: Then<T>): Then<T> {
+    return (r) => this.push({ k: 'reply', run: () => cb(r) });
+  }
+
+  /** Replies come through the queue, and each success tells that the state service is in reach. */
+  private watched(s: StatePort): StatePort {
+    const cb = <T>(then: Then<T>): Then<T> => {
+      const sent = this.o.clock.now();
+      return this.reply((r) => {
+        if (r.ok || r.kind === 'conflict' || r.kind === 'gone')
+          this.stateOkAt = Math.max(this.stateOkAt, sent);
+        then(r);
+      });
+    };
+    return {
+      get: (k, u, t) => s.get(k, u, cb(t)),
+      list: (p, a, u, t) => s.list(p, a, u, cb(t)),
+      txn: (x, u, t) => s.txn(x, u, cb(t)),
+      grant: (ms, t) => s.grant(ms, cb(t)),
+      touch: (l, t) => s.touch(l, cb(t)),
+      end: (l, t) => s.end(l, cb(t)),
+      watch: (p, a, w, t) => s.watch(p, a, w, this.reply(t)),
+    };
+  }
+
+  private queuedCloud(c: CloudPort): CloudPort {
+    return {
+      types: (t) => c.types(this.reply(t)),
+      rent: (a, b, d, e, f, t) => c.rent(a, b, d, e, f, this.reply(t)),
+      remove: (n, t) => c.remove(n, this.reply(t)),
+      list: (a, t) => c.list(a, this.reply(t)),
+    };
+  }
+
+  // ---- ticks --------------------------------------------------------------------------------------------
+
+  private tick(): void {
+    const now = this.o.clock.now();
+    this.keepLease(now);
+    this.elect(now);
+    this.part(now);
+    this.learnTypes(now);
+    this.keeper?.tick();
+    for (const p of this.o.peers)
+      this.meshSend(p, {
+        k: 'ping',
+        leader: this.leader.host,
+        token: this.leader.token,
+        stateOk: this.stateOk(now),
+      });
+  }
+
+  private stateOk(now: number): boolean {
+    return now - this.stateOkAt < this.o.ttlMs;
+  }
+
+  /** Ready unless this controller alone is without the state service. */
+  ready(): boolean {
+    const now = this.o.clock.now();
+    if (!this.sys.ready) return false;
+    if (this.stateOk(now)) return true;
+    for (const h of this.heard.values()) if (now - h.at < 3000 && h.stateOk) return false;
+    return true;
+  }
+
+  private learnTypes(now: number): void {
+    if (this.typesBusy || now - this.typesAt < (this.types.length > 0 ? 30000 : 1500)) return;
+    // The leader asks the cloud and stores the answer; the others read it there, also while the cloud is down.
+    if (!this.keeper && this.types.length > 0) return;
+    if (!this.keeper && now - this.stateOkAt > 1e5) return;
+    this.typesBusy = true;
+    this.typesAt = now;
+    this.cloud.types((r) => {
+      this.typesBusy = false;
+      if (!r.ok || r.value.length === 0) return;
+      const text = JSON.stringify(r.value.map((t) => ({ ...t, price: 0, spotPrice: 0 })));
+      const old = JSON.stringify(this.types.map((t) => ({ ...t, price: 0, spotPrice: 0 })));
+      this.types = r.value;
+      if (this.keeper && (text !== old || !this.sys.items.has('sys/types')))
+        this.state.txn(
+          {
+            when: [{ key: 'sys/leader', version: this.leaderMark }],
+            then: [{ put: 'sys/types', value: r.value }],
+          },
+          2,
+          () => {},
+        );
+    });
+  }
+
+  // ---- lease and election ---------------------------------------------------------------------------------
+
+  private keepLease(now: number): void {
+    if (this.leaseBusy || !this.sys.ready) return;
+    if (this.lease === 0) return this.join();
+    if (now - this.leaseAt < this.o.ttlMs / 3) return;
+    this.leaseBusy = true;
+    this.state.touch(this.lease, (r) => {
+      this.leaseBusy = false;
+      if (r.ok) this.leaseAt = now;
+      else if (r.kind === 'gone') {
+        this.o.log.info({}, 'lease lost');
+        this.lease = 0;
+        this.stepDown('lease lost');
+        this.join();
+      }
+    });
+  }
+
+  /** A new instance ends its predecessor's lease, and no other; then it takes one of its own. */
+  private join(): void {
+    const key = `sys/node/${this.o.host}`;
+    this.leaseBusy = true;
+    const retry = () => {
+      this.leaseBusy = false;
+    };
+    this.state.get(key, 0, (g) => {
+      if (!g.ok) return retry();
+      const rec = g.value?.value as NodeRecord | undefined;
+      const next = () => this.takeLease(key, retry);
+      if (rec && rec.inst !== this.o.inst && !this.predecessorDone) {
+        this.predecessorDone = true;
+        this.state.end(rec.lease, next);
+      } else next();
+    });
+  }
+
+  private takeLease(key: string, retry: () => void): void {
+    const sent = this.o.clock.now();
+    this.state.grant(this.o.ttlMs, (l) => {
+      if (!l.ok) return retry();
+      const lease = l.value;
+      this.state.txn(
+        { when: [], then: [{ put: key, value: { inst: this.o.inst, lease }, lease }] },
+        0,
+        (r) => {
+          this.leaseBusy = false;
+          if (!r.ok) return;
+          this.lease = lease;
+          this.leaseAt = sent;
+          this.o.log.info({ inst: this.o.inst }, 'joined');
+          this.elect(this.o.clock.now());
+        },
+      );
+    });
+  }
+
+  private elect(now: number): void {
+    if (this.lease === 0 || !this.sys.ready || this.electing || now < this.noElectUntil || now < this.electAt)
+      return;
+    if (this.sys.items.has('sys/leader') || now - this.leaseAt > this.o.ttlMs) return;
+    this.campaign(0, 'no leader');
+  }
+
+  private campaign(leaderVersion: number, why: string): void {
+    const tok = this.sys.items.get('sys/token');
+    const token = ((tok?.value as { n: number } | undefined)?.n ?? 0) + 1;
+    this.electing = true;
+    this.electAt = this.o.clock.now() + 300 + this.o.clock.random() * 300;
+    const rec: LeaderRecord = { inst: this.o.inst, host: this.o.host, token };
+    this.state.txn(
+      {
+        when: [
+          { key: 'sys/leader', version: leaderVersion },
+          { key: 'sys/token', version: tok?.version ?? 0 },
+        ],
+        then: [
+          { put: 'sys/token', value: { n: token } },
+          { put: 'sys/leader', value: rec, lease: this.lease },
+        ],
+      },
+      0,
+      (r) => {
+        this.electing = false;
+        if (r.ok) this.lead(rec, r.value, why);
+      },
+    );
+  }
+
+  private lead(rec: LeaderRecord, mark: number, why: string): void {
+    if (this.keeper && this.keeper.token >= rec.token) return;
+    if (rec.token < this.leader.token || rec.token <= this.ledToken) return;
+    this.ledToken = rec.token;
+    this.ledAt = this.o.clock.now();
+    this.leaderMark = mark;
+    this.o.log.info({ token: rec.token, why }, 'leading');
+    this.keeper = new Keeper({
+      inst: this.o.inst,
+      token: rec.token,
+      teams: this.teams,
+      workers: this.o.workers,
+      listLagS: this.o.listLagS,
+      first: rec.token === 1,
+      clock: this.o.clock,
+      log: this.o.log,
+      cloud: this.cloud,
+      worker: {
+        commands: (a, t, s, c, cb) => this.o.worker.commands(a, t, s, c, this.reply(cb)),
+      },
+      types: () => this.types,
+      policy: this.o.policy,
+      entitled: () => this.keeper?.token === rec.token && this.o.clock.now() - this.leaseAt < this.o.ttlMs,
+      send: (inst, m) => this.toOwner(inst, m),
+      wake: () => this.wake(),
+      deposed: (token) => {
+        if (this.keeper?.token === rec.token) this.stepDown(`token ${token} seen`);
+      },
+      resign: (reason) => this.resign(rec.token, reason),
+      raise: (reason) => this.raise(rec.token, reason),
+    });
+    this.setLeader(rec);
+    this.keeper.setOwners(this.teamRecords());
+    this.part(this.o.clock.now());
+    this.rebalanceAt = this.ledAt + 5000;
+    this.typesAt = Number.NEGATIVE_INFINITY;
+    this.learnTypes(this.o.clock.now());
+  }
+
+  private stepDown(why: string): void {
+    if (!this.keeper) return;
+    this.o.log.info({ token: this.keeper.token, why }, 'no longer leading');
+    this.keeper = null;
+    if (this.leader.inst === this.o.inst) this.leader = { ...this.leader, host: '' };
+  }
+
+  private resign(token: number, why: string): void {
+    if (this.keeper?.token !== token) return;
+    const mark = this.leaderMark;
+    this.noElectUntil = this.o.clock.now() + 20000;
+    this.stepDown(why);
+    this.state.txn(
+      { when: [{ key: 'sys/leader', version: mark }], then: [{ del: 'sys/leader' }] },
+      0,
+      () => {},
+    );
+  }
+
+  private raise(token: number, why: string): void {
+    const now = this.o.clock.now();
+    if (this.keeper?.token !== token || this.electing || now < this.raiseAt) return;
+    this.raiseAt = now + 15000;
+    this.campaign(this.leaderMark, why);
+  }
+
+  private setLeader(rec: LeaderRecord): void {
+    if (rec.token < this.leader.token) return;
+    this.leader = rec;
+    this.owner.setKeeper(rec.token);
+  }
+
+  // ---- records under sys/ -----------------------------------------------------------------------------------
+
+  private sysChanged(key: string): void {
+    if (key === 'sys/leader') {
+      const it = this.sys.items.get(key);
+      if (!it) {
+        if (this.keeper) this.stepDown('leader record gone');
+        this.electAt = this.o.clock.now() + this.o.clock.random() * 100;
+        this.o.clock.after(110, () => this.push({ k: 'reply', run: () => this.elect(this.o.clock.now()) }));
+        return;
+      }
+      const rec = it.value as LeaderRecord;
+      if (rec.inst === this.o.inst) {
+        // An election whose answer was lost.
+        if (this.lease !== 0) this.lead(rec, it.version, 'found elected');
+      } else {
+        if (this.keeper && rec.token > this.keeper.token) this.stepDown('another leads');
+        this.setLeader(rec);
+      }
+    } else if (key.startsWith('sys/team/')) {
+      const mine = new Map<string, number>();
+      for (const [team, r] of this.teamRecords())
+        if (r.inst === this.o.inst && this.teams.has(team)) mine.set(team, r.gen);
+      this.owner.setTeams(mine);
+      this.keeper?.setOwners(this.teamRecords());
+    } else if (key === 'sys/types' && !this.keeper) {
+      const v = this.sys.items.get(key)?.value;
+      if (Array.isArray(v)) this.types = v as MachineType[];
+    } else if (key.startsWith('sys/node/')) this.part(this.o.clock.now());
+  }
+
+  private teamRecords(): Map<string, { inst: string; gen: number }> {
+    const out = new Map<string, { inst: string; gen: number }>();
+    for (const [key, it] of this.sys.items) {
+      if (!key.startsWith('sys/team/')) continue;
+      out.set(key.slice(9), { inst: (it.value as { inst: string }).inst, gen: it.version });
+    }
+    return out;
+  }
+
+  private nodes(): Map<string, string> {
+    const out = new Map<string, string>();
+    for (const [key, it] of this.sys.items)
+      if (key.startsWith('sys/node/')) out.set((it.value as NodeRecord).inst, key.slice(9));
+    return out;
+  }
+
+  /** The leader parts the teams among the controllers that are alive and that it can reach. */
+  private part(now: number): void {
+    const keeper = this.keeper;
+    if (!keeper || this.parting || !this.sys.ready || now - this.leaseAt > this.o.ttlMs) return;
+    const load = new Map<string, number>();
+    for (const [inst, host] of this.nodes()) {
+      const h = this.heard.get(host);
+      // A new leader has heard nobody yet, and a record names who was alive a moment ago.
+      if (inst === this.o.inst || now - this.ledAt < 3500 || (h?.inst === inst && now - h.at < 3500))
+        load.set(inst, 0);
+    }
+    if (!load.has(this.o.inst)) return;
+    const records = this.teamRecords();
+    const moves = new Map<string, string>();
+    for (const team of [...this.teams.keys()].sort()) {
+      const r = records.get(team);
+      if (r && load.has(r.inst)) load.set(r.inst, (load.get(r.inst) ?? 0) + 1);
+      else moves.set(team, '');
+    }
+    const least = () =>
+      [...load].sort(
+        (a, b) => a[1] - b[1] || Number(b[0] === this.o.inst) - Number(a[0] === this.o.inst),
+      )[0]!;
+    for (const team of moves.keys()) {
+      const [inst] = least();
+      moves.set(team, inst);
+      load.set(inst, (load.get(inst) ?? 0) + 1);
+    }
+    if (moves.size === 0 && now >= this.rebalanceAt) {
+      this.rebalanceAt = now + keeper.policyNow.parting_s * 1000;
+      const [to, few] = least();
+      const [from, many] = [...load].sort((a, b) => b[1] - a[1])[0]!;
+      const team = [...records].find(([t, r]) => r.inst === from && this.teams.has(t))?.[0];
+      if (many - few >= 2 && team) moves.set(team, to);
+    }
+    if (moves.size === 0) return;
+    const batch = [...moves].slice(0, this.o.state.txnOps);
+    for (const [team] of batch) keeper.suspend(team);
+    this.parting = true;
+    this.state.txn(
+      {
+        when: [
+          { key: 'sys/leader', version: this.leaderMark },
+          ...batch.map(([team]) => ({ key: `sys/team/${team}`, version: records.get(team)?.gen ?? 0 })),
+        ],
+        then: batch.map(([team, inst]) => ({ put: `sys/team/${team}`, value: { inst } })),
+      },
+      0,
+      (r) => {
+        this.parting = false;
+        this.o.log.debug({ teams: Object.fromEntries(batch), ok: r.ok }, 'teams parted');
+        if (!r.ok) for (const rec of records.values()) keeper.unsync(rec.inst);
+      },
+    );
+  }
+
+  // ---- messages ---------------------------------------------------------------------------------------------
+
+  private meshSend(host: string, body: MeshBody): void {
+    this.o.mesh.send(host, { host: this.o.host, inst: this.o.inst, seq: ++this.seq, body });
+  }
+
+  private toKeeper(m: OwnerMsg): void {
+    if (this.leader.inst === this.o.inst) this.push({ k: 'reply', run: () => this.keeper?.fromOwner(m) });
+    else if (this.leader.host !== '')
+      this.meshSend(this.leader.host, { k: 'owner', to: this.leader.inst, m });
+  }
+
+  private toOwner(inst: string, m: KeeperMsg): void {
+    if (inst === this.o.inst) return this.push({ k: 'reply', run: () => this.owner.fromKeeper(m) });
+    const host = this.nodes().get(inst);
+    if (host) this.meshSend(host, { k: 'keeper', to: inst, m });
+  }
+
+  private fromMesh(m: MeshMsg): void {
+    const now = this.o.clock.now();
+    const h = this.heard.get(m.host);
+    // A message held back on an older connection must not undo a later one.
+    if (h?.inst === m.inst && m.seq <= h.seq) return;
+    if (this.superseded.has(m.inst)) return;
+    if (h && h.inst !== m.inst) this.superseded.add(h.inst);
+    const ok = m.body.k === 'ping' ? m.body.stateOk : (h?.stateOk ?? true);
+    this.heard.set(m.host, { inst: m.inst, at: now, seq: m.seq, stateOk: ok });
+    switch (m.body.k) {
+      case 'ping':
+        if (
+          m.body.token > this.leader.token &&
+          m.body.leader !== this.o.host &&
+          this.keeper &&
+          m.body.token > this.keeper.token
+        )
+          this.stepDown('a sibling knows a later leader');
+        if (m.body.token > this.hint.token) this.hint = { host: m.body.leader, token: m.body.token };
+        return;
+      case 'owner':
+        if (m.body.to === this.o.inst) this.keeper?.fromOwner(m.body.m);
+        return;
+      case 'keeper':
+        if (m.body.to === this.o.inst) this.owner.fromKeeper(m.body.m);
+        return;
+    }
+  }
+
+  private hint = { host: '', token: 0 };
+
+  /** Our own connection to a sibling was made anew: what was under way may be lost. */
+  private link(host: string, up: boolean): void {
+    if (!up) return;
+    if (this.leader.host === host) this.owner.resync();
+    if (this.keeper) for (const [inst, h] of this.nodes()) if (h === host) this.keeper.unsync(inst);
+  }
+
+  // ---- workers ----------------------------------------------------------------------------------------------
+
+  report(r: WorkerReport): ReportAnswer {
+    const now = this.o.clock.now();
+    const k = this.keeper;
+    if (!k) {
+      const known = this.hint.token > this.leader.token ? this.hint.host : this.leader.host;
+      return { s: 'other', keeper: known !== '' && known !== this.o.host ? known : null };
+    }
+    // In an outage reports are answered for a bounded time, so that what is cancelled meanwhile by others
+    // has lost its worker's lease within `cancel_s`.
+    const bound = (this.o.workers.cancelS - this.o.workers.leaseS) * 1000 * 0.75;
+    if (now - this.stateOkAt > bound) return { s: 'later' };
+    const cmds = k.report(r);
+    if (cmds === null) return this.report(r);
+    return { s: 'ok', token: k.token, cmds };
+  }
+
+  /** For logs and tests. */
+  status(): Record<string, unknown> {
+    return {
+      leader: this.leader,
+      keeper: this.keeper?.stats() ?? null,
+      teams: this.owner.ownedTeams,
+      owner: this.owner.stats(),
+      types: this.types.length,
+    };
+  }
+}
+
+const NO_INPUT = {
+  services: 0,
+  service_cpus: 0,
+  queued: 0,
+  queued_cpus: 0,
+  batch_running: 0,
+  machines: 0,
+  report_s: 3,
+  lease_s: 30,
+  boot_s: 30,
+};
--- /dev/null
+++ b/src/core/graph.ts
@@ -0,0 +1,83 @@
+/**
+ * The release graph. A node has inputs; it is released when all of them are counted. A job is a
+ * fan-out from its release (a leaf: no inputs) to its tasks, and a fan-in from them to its completion.
+ */
+export class Counter {
+  readonly bits: Uint8Array;
+  n = 0;
+
+  constructor(readonly inputs: number) {
+    this.bits = new Uint8Array((inputs + 7) >> 3);
+  }
+
+  has(i: number): boolean {
+    return ((this.bits[i >> 3] ?? 0) & (1 << (i & 7))) !== 0;
+  }
+
+  /** Counts an input once; a repeat adds nothing. */
+  add(i: number): boolean {
+    if (i < 0 || i >= this.inputs || this.has(i)) return false;
+    this.bits[i >> 3] = (this.bits[i >> 3] ?? 0) | (1 << (i & 7));
+    this.n++;
+    return true;
+  }
+
+  get full(): boolean {
+    return this.n >= this.inputs;
+  }
+
+  /** Bytes [from, to) of the record, as stored. */
+  encode(from: number, to: number): string {
+    return Buffer.from(this.bits.subarray(from, to)).toString('base64');
+  }
+
+  merge(from: number, stored: string): void {
+    const b = Buffer.from(stored, 'base64');
+    for (let k = 0; k < b.length; k++) {
+      const byte = b[k] ?? 0;
+      for (let j = 0; j < 8; j++) if (byte & (1 << j)) this.add((from + k) * 8 + j);
+    }
+  }
+}
+
+/**
+ * Inputs not yet begun, in release order: untouched ones by a cursor, returned ones ahead of them. Release
+ * never runs further than `window` ahead of the first input not yet counted.
+ */
+export class FanOut {
+  private next = 0;
+  private low = 0;
+  private back: number[] = [];
+  private readonly returned = new Set<number>();
+
+  constructor(
+    readonly size: number,
+    readonly window: number,
+  ) {}
+
+  skipTo(counted: (i: number) => boolean): void {
+    while (this.next < this.size && counted(this.next)) this.next++;
+  }
+
+  /** Takes the next input that `taken` does not exclude, or -1. */
+  take(taken: (i: number) => boolean, counted: (i: number) => boolean): number {
+    while (this.back.length > 0) {
+      const i = this.back.shift() as number;
+      this.returned.delete(i);
+      if (!taken(i)) return i;
+    }
+    while (this.low < this.next && counted(this.low)) this.low++;
+    while (this.next < this.size && this.next - this.low < this.window) {
+      const i = this.next++;
+      if (!taken(i)) return i;
+    }
+    return -1;
+  }
+
+  /** A successor that lost its place goes to the front. */
+  giveBack(i: number): void {
+    if (i >= this.next || this.returned.has(i)) return;
+    this.returned.add(i);
+    this.back.push(i);
+  }
+}
--- /dev/null
+++ b/src/core/keeper.ts
@@ -0,0 +1,1220 @@
+import { Capacity, planRentals, type Rental } from './autoscale.js';
+import { type Entry, isNewer, type Machine, newEntry, newMachine, takesRoom } from './machine.js';
+import type { Policy, PolicyInput } from './policy.js';
+import { allowed, emptyRoom, fill, type Room } from './room.js';
+import type {
+  Clock,
+  CloudPort,
+  Grant,
+  Held,
+  KeeperMsg,
+  ListedMachine,
+  Logger,
+  MachineType,
+  OwnerMsg,
+  Seen,
+  Team,
+  Want,
+  WorkerCommand,
+  WorkerPort,
+  WorkerReport,
+} from './types.js';
+import { taskKey } from './types.js';
+
+export interface KeeperOptions {
+  inst: string;
+  token: number;
+  teams: Map<string, Team>;
+  workers: { reportS: number; leaseS: number; cancelS: number };
+  listLagS: number;
+  /** A first keeper ever finds no machines of an earlier one on their way. */
+  first: boolean;
+  clock: Clock;
+  log: Logger;
+  cloud: CloudPort;
+  worker: WorkerPort;
+  types(): MachineType[];
+  policy(i: PolicyInput): Policy;
+  /** Still known to be the leader: new starts, rentals and deletions are allowed. */
+  entitled(): boolean;
+  send(inst: string, msg: KeeperMsg): void;
+  wake(): void;
+  /** A higher token was seen: another keeper acts. */
+  deposed(token: number): void;
+  /** Nothing but this controller's own network explains what is seen. */
+  resign(why: string): void;
+  /** Held-back commands stand in the way of a stop: a higher token would end them. */
+  raise(why: string): void;
+}
+
+interface OwnerRef {
+  inst: string;
+  gen: number;
+  synced: boolean;
+}
+
+interface WantRef {
+  want: Want;
+  inst: string;
+}
+
+const COMMANDS_AT_ONCE = 200;
+
+/** The elected leader's part: machines, reports, room. It stores nothing; owners and workers tell it all. */
+export class Keeper {
+  readonly token: number;
+  private readonly machines = new Map<string, Machine>();
+  private readonly gone = new Set<string>();
+  private readonly owners = new Map<string, OwnerRef>();
+  private readonly wants = new Map<string, Want[]>();
+  private readonly holds = new Map<string, number>();
+  private readonly capacity = new Capacity(8000);
+  private readonly outbox = new Map<string, Seen[]>();
+  private readonly startedAt: number;
+  private readonly serviceShapes = new Map<string, { want: Want; at: number; inst: string }>();
+  private rentalsOut = new Map<string, Rental>();
+  private claims = 0;
+  private grants = 0;
+  private dirty = true;
+  private nextPass = 0;
+  private passTimer = false;
+  private nextScale = 0;
+  private nextList = 0;
+  private listed = false;
+  private listing = false;
+  private removeBusy = false;
+  private removeRetryAt = 0;
+  private suspectSince = 0;
+  private readonly removeQueue = new Set<string>();
+  policyNow: Policy;
+
+  constructor(private readonly o: KeeperOptions) {
+    this.token = o.token;
+    this.startedAt = o.clock.now();
+    this.policyNow = o.policy(this.policyInput());
+  }
+
+  // ---- owners ---------------------------------------------------------------------------------------
+
+  setOwners(records: Map<string, { inst: string; gen: number }>): void {
+    for (const [team, r] of records) {
+      const cur = this.owners.get(team);
+      if (cur && cur.inst === r.inst && cur.gen === r.gen) continue;
+      this.owners.set(team, { inst: r.inst, gen: r.gen, synced: false });
+      this.dropHolds((e) => e.team === team);
+    }
+  }
+
+  /** Before a team's record is changed: what its present owner says no longer counts. */
+  suspend(team: string): void {
+    const cur = this.owners.get(team);
+    if (cur) cur.synced = false;
+  }
+
+  isSynced(team: string): boolean {
+    return this.owners.get(team)?.synced === true;
+  }
+
+  unsync(inst: string): void {
+    for (const r of this.owners.values()) if (r.inst === inst) r.synced = false;
+    this.o.send(inst, { k: 'resync', token: this.token });
+  }
+
+  private allSynced(): boolean {
+    for (const t of this.o.teams.keys()) if (!this.isSynced(t)) return false;
+    return true;
+  }
+
+  fromOwner(m: OwnerMsg): void {
+    if (m.token !== this.token) return;
+    switch (m.k) {
+      case 'sync':
+        this.sync(m.inst, m.gens, m.held);
+        this.setWants(m.inst, m.wants);
+        break;
+      case 'wants':
+        this.setWants(m.inst, m.wants);
+        break;
+      case 'held':
+        for (const h of m.held) if (this.heeds(m.inst, h.team)) this.hold(h);
+        break;
+      case 'drop':
+        this.drop(m.inst, m.tasks, m.grants);
+        break;
+    }
+    this.dirty = true;
+    this.o.wake();
+  }
+
+  private heeds(inst: string, team: string): boolean {
+    const r = this.owners.get(team);
+    return r?.inst === inst && r.synced;
+  }
+
+  private sync(inst: string, gens: Record<string, number>, held: Held[]): void {
+    const teams = new Set<string>();
+    for (const [team, gen] of Object.entries(gens)) {
+      const r = this.owners.get(team);
+      if (r?.inst !== inst || r.gen !== gen) continue;
+      r.synced = true;
+      teams.add(team);
+    }
+    this.o.log.debug({ inst, teams: [...teams], held: held.length }, 'owner synced');
+    const keep = new Set<string>();
+    for (const h of held) if (teams.has(h.team)) keep.add(taskKey(h.job, h.idx, h.attempt));
+    for (const m of this.machines.values())
+      for (const e of m.entries.values())
+        if (teams.has(e.team) && (e.want === 'hold' || !keep.has(e.key))) this.removeEntry(m, e);
+    for (const h of held) {
+      if (!teams.has(h.team)) continue;
+      const e = this.hold(h);
+      if (e) e.told = '';
+    }
+    this.o.send(inst, { k: 'synced', token: this.token });
+    for (const m of this.machines.values())
+      for (const e of m.entries.values()) if (teams.has(e.team)) this.tell(m, e);
+  }
+
+  private setWants(inst: string, wants: Want[]): void {
+    this.wants.set(inst, wants);
+    for (const w of wants)
+      if (w.service) this.serviceShapes.set(`${w.cls}|${w.image}`, { want: w, at: this.o.clock.now(), inst });
+  }
+
+  private hold(h: Held): Entry | null {
+    const key = taskKey(h.job, h.idx, h.attempt);
+    if (this.gone.has(h.machine)) {
+      this.say(h.team, { s: 'settled', job: h.job, idx: h.idx, attempt: h.attempt, machine: h.machine });
+      return null;
+    }
+    const m = this.machine(h.machine);
+    if (h.grant > 0) {
+      const g = m.entries.get(`grant#${h.grant}`);
+      if (g) this.removeEntry(m, g);
+    }
+    let e = m.entries.get(key);
+    if (!e) {
+      // A reap of what this keeper never knew: only the worker's list matters.
+      e = newEntry(h, this.o.clock.now());
+      m.entries.set(key, e);
+      e.listed = m.tasks.get(key) ?? null;
+    } else {
+      // A stop is not taken back.
+      if (!(e.want === 'stop' && h.want === 'run')) e.want = h.want;
+      e.graceS = h.graceS;
+      e.season = h.season > 0 ? h.season : e.season;
+    }
+    if (e.want === 'reap' && m.up && !m.tasks.has(key) && !e.direct && e.sentWith < 0) {
+      this.removeEntry(m, e);
+      return null;
+    }
+    if (m.up && m.season > e.season && e.want !== 'reap') e.settled = true;
+    this.judgeAbsent(m, e);
+    this.tell(m, e);
+    this.direct(m);
+    return e;
+  }
+
+  private drop(inst: string, tasks: { machine: string; key: string }[], grants: number[]): void {
+    for (const t of tasks) {
+      const m = this.machines.get(t.machine);
+      const e = m?.entries.get(t.key);
+      if (m && e && this.heeds(inst, e.team) && e.settled) this.removeEntry(m, e);
+    }
+    const ids = new Set(grants.map((g) => `grant#${g}`));
+    if (ids.size > 0) this.dropHolds((e) => ids.has(e.key));
+  }
+
+  private dropHolds(which: (e: Entry) => boolean): void {
+    for (const m of this.machines.values())
+      for (const e of m.entries.values()) if (e.want === 'hold' && which(e)) this.removeEntry(m, e);
+    this.dirty = true;
+  }
+
+  private removeEntry(m: Machine, e: Entry): void {
+    m.entries.delete(e.key);
+    if (e.want === 'hold') this.holds.set(e.job, Math.max(0, (this.holds.get(e.job) ?? 0) - 1));
+    if (this.holds.get(e.job) === 0) this.holds.delete(e.job);
+    if (m.entries.size === 0) m.idleSince = this.o.clock.now();
+    this.dirty = true;
+  }
+
+  private say(team: string, s: Seen): void {
+    const r = this.owners.get(team);
+    if (!r?.synced) return;
+    const l = this.outbox.get(r.inst);
+    if (l) l.push(s);
+    else this.outbox.set(r.inst, [s]);
+  }
+
+  private tell(m: Machine, e: Entry): void {
+    if (e.want === 'hold') return;
+    const text = e.settled ? 'settled' : e.listed ? `${e.listed.phase}/${e.listed.why ?? ''}` : '';
+    if (text === '' || text === e.told || !this.isSynced(e.team)) return;
+    e.told = text;
+    const id = { job: e.job, idx: e.idx, attempt: e.attempt, machine: m.name };
+    if (e.settled) this.say(e.team, { s: 'settled', ...id });
+    else if (e.listed)
+      this.say(e.team, {
+        s: 'phase',
+        ...id,
+        phase: e.listed.phase,
+        why: e.listed.why,
+        saved: e.listed.saved,
+      });
+  }
+
+  // ---- workers --------------------------------------------------------------------------------------
+
+  private machine(name: string): Machine {
+    let m = this.machines.get(name);
+    if (!m) {
+      m = newMachine(name, this.o.clock.now());
+      this.machines.set(name, m);
+    }
+    return m;
+  }
+
+  /** A report. Null: answer that this controller is not entitled. */
+  report(r: WorkerReport): WorkerCommand[] | null {
+    if (r.token > this.token) {
+      this.o.deposed(r.token);
+      return null;
+    }
+    if (this.gone.has(r.machine)) return [];
+    const m = this.machine(r.machine);
+    const now = this.o.clock.now();
+    const late = r.season < m.season || (r.season === m.season && r.tally <= m.reportTally);
+    m.heardAt = now;
+    m.probeFails = 0;
+    if (late) return [];
+    m.reportAt = now;
+    const fresh = isNewer(m, r);
+    const before = m.reportTally;
+    m.reportTally = r.tally;
+    if (fresh) this.take(m, r, true);
+    else if (before < 0 || r.season === m.season) {
+      // Overtaken by the answer to a direct command: its list is old, but it is still waiting for an answer.
+      for (const e of m.entries.values()) if (e.sentWith >= 0 && r.tally > e.sentWith) e.sentWith = -1;
+    }
+    const cmds = this.commands(m, r.tally);
+    this.o.wake();
+    return cmds;
+  }
+
+  private take(m: Machine, r: WorkerReport, asReport: boolean): void {
+    const now = this.o.clock.now();
+    const known = m.up;
+    if (r.season > m.season) {
+      m.doubt.clear();
+      for (const e of m.entries.values()) e.sentWith = -1;
+    }
+    m.addr = r.addr;
+    m.type = r.type;
+    m.zone = r.zone;
+    m.spot = r.spot;
+    m.season = r.season;
+    m.tally = r.tally;
+    m.token = Math.max(m.token, r.token);
+    m.heardAt = now;
+    m.up = true;
+    m.leaveAt = r.noticeS === null ? null : now + r.noticeS * 1000;
+    for (const [key, token] of m.doubt) if (r.token > token) m.doubt.delete(key);
+    if (!known) {
+      m.idleSince = now;
+      this.o.log.debug({ machine: m.name, type: m.type, zone: m.zone, spot: m.spot }, 'machine up');
+    }
+    m.tasks.clear();
+    for (const t of r.tasks) m.tasks.set(taskKey(t.job, t.idx, t.attempt), t);
+    for (const e of [...m.entries.values()]) {
+      if (e.want === 'hold') {
+        if (e.season !== m.season) this.removeEntry(m, e);
+        continue;
+      }
+      const t = m.tasks.get(e.key) ?? null;
+      if (t) {
+        if (t.phase !== e.listed?.phase) this.phase(m, e, t, now);
+        e.listed = t;
+        e.settled = false;
+      } else {
+        if (m.season > e.season) {
+          if (e.want === 'reap') {
+            this.removeEntry(m, e);
+            continue;
+          }
+          e.settled = true;
+          e.listed = null;
+        } else {
+          if (asReport && e.sentWith >= 0 && r.tally > e.sentWith) e.sentWith = -1;
+          if (e.want === 'reap' && !e.direct && e.sentWith < 0) {
+            this.removeEntry(m, e);
+            continue;
+          }
+          e.listed = null;
+          this.judgeAbsent(m, e);
+        }
+      }
+      this.tell(m, e);
+    }
+    for (const key of m.strangers.keys()) if (!m.tasks.has(key)) m.strangers.delete(key);
+    for (const key of m.tasks.keys())
+      if (!m.entries.has(key) && !m.strangers.has(key)) m.strangers.set(key, now);
+    this.dirty = true;
+  }
+
+  private phase(m: Machine, e: Entry, t: { phase: string; why: string | null }, now: number): void {
+    if (t.phase === 'running' || t.phase === 'waiting') {
+      m.images.delete(e.image);
+      m.images.set(e.image, e.imageGb);
+      this.trimImages(m);
+      if (t.phase === 'running') e.since = now;
+    }
+    if (t.phase !== 'exited') return;
+    if (t.why === 'error') {
+      m.errors.set(e.job, now);
+      if (m.errors.size >= 2 && !m.retired) {
+        m.retired = true;
+        this.o.log.info(
+          { machine: m.name, jobs: [...m.errors.keys()] },
+          'machine retired: several jobs fail on it',
+        );
+      }
+    } else if (t.why === 'done') {
+      m.errors.delete(e.job);
+      if (e.estimateS > 0) this.speed(m, (now - e.since) / 1000 / e.estimateS);
+    }
+  }
+
+  /** A task's run time against its estimate, as a moving mean; compared with the other machines' means. */
+  private speed(m: Machine, ratio: number): void {
+    m.runs++;
+    m.slow = m.runs === 1 ? ratio : m.slow * 0.7 + ratio * 0.3;
+    if (m.runs < 4 || m.retired) return;
+    const others = [...this.machines.values()].filter((x) => x !== m && x.runs >= 3).map((x) => x.slow);
+    if (others.length < 3) return;
+    others.sort((a, b) => a - b);
+    const median = others[others.length >> 1] ?? 1;
+    if (m.slow > median * 2.5) {
+      m.retired = true;
+      this.o.log.info(
+        { machine: m.name, ratio: m.slow, median },
+        'machine retired: far slower than its peers',
+      );
+    }
+  }
+
+  private trimImages(m: Machine): void {
+    const cache = this.o.types().find((t) => t.name === m.type)?.cacheGb ?? Number.POSITIVE_INFINITY;
+    let sum = 0;
+    for (const gb of m.images.values()) sum += gb;
+    for (const [name, gb] of m.images) {
+      if (sum <= cache) break;
+      m.images.delete(name);
+      sum -= gb;
+    }
+  }
+
+  /**
+   * Settled by absence: the worker has seen the current token, so starts under older ones are void; it does
+   * not list the attempt; and no start of it under this token is on its way or in doubt.
+   */
+  private judgeAbsent(m: Machine, e: Entry): void {
+    if (e.want !== 'stop' || e.settled || e.listed || !m.up || e.season !== m.season) return;
+    if (m.token !== this.token || m.tasks.has(e.key)) return;
+    if (e.direct || m.directBusy || e.sentWith >= 0 || m.doubt.has(e.key)) return;
+    e.settled = true;
+  }
+
+  private canStart(m: Machine, e: Entry): boolean {
+    return this.o.entitled() && this.isSynced(e.team) && m.up && !m.removing && e.season === m.season;
+  }
+
+  /** What this machine should do now. With `tally`: carried by the answer to that report. */
+  private commands(m: Machine, tally: number | null): WorkerCommand[] {
+    const out: WorkerCommand[] = [];
+    const now = this.o.clock.now();
+    for (const e of m.entries.values()) {
+      if (out.length >= COMMANDS_AT_ONCE) break;
+      if (e.want === 'hold' || e.settled) continue;
+      const id = { job: e.job, idx: e.idx, attempt: e.attempt };
+      const t = m.tasks.get(e.key);
+      if (e.want === 'run') {
+        if (t || e.direct || !this.canStart(m, e)) continue;
+        if (tally === null) {
+          if (e.sentWith >= 0) continue;
+          e.direct = true;
+        } else e.sentWith = tally;
+        out.push({ op: 'start', ...id });
+      } else if (e.want === 'stop') {
+        if (!t || t.phase === 'exited' || (t.phase === 'saving' && e.graceS > 0)) continue;
+        out.push({ op: 'stop', ...id, graceS: e.graceS });
+      } else if (e.want === 'reap') {
+        // A start that may still arrive would run the task again once it is forgotten.
+        if (t?.phase === 'exited' && !m.doubt.has(e.key) && !e.direct && e.sentWith < 0)
+          out.push({ op: 'reap', ...id });
+      }
+    }
+    if (m.strangers.size > 0 && this.o.entitled() && this.allSynced()) {
+      for (const [key, since] of m.strangers) {
+        if (out.length >= COMMANDS_AT_ONCE) break;
+        const t = m.tasks.get(key);
+        if (!t || m.entries.has(key)) {
+          m.strangers.delete(key);
+          continue;
+        }
+        if (now - since < 3000 || now - this.startedAt < 3000) continue;
+        const id = { job: t.job, idx: t.idx, attempt: t.attempt };
+        if (t.phase !== 'exited') out.push({ op: 'stop', ...id, graceS: 0 });
+        else if (!m.doubt.has(key)) out.push({ op: 'reap', ...id });
+      }
+    }
+    return out;
+  }
+
+  /** Sends what there is straight to the worker, one call at a time. */
+  private direct(m: Machine, probe = false): void {
+    if (m.directBusy || m.addr === '' || m.removing || !this.o.entitled()) return;
+    if (!probe && m.probeFails > 0) return;
+    const cmds = m.up ? this.commands(m, null) : [];
+    if (cmds.length === 0 && !probe) return;
+    m.directBusy = true;
+    m.probeAt = this.o.clock.now();
+    const season = m.season;
+    const starts = cmds.filter((c) => c.op === 'start').map((c) => taskKey(c.job, c.idx, c.attempt));
+    this.o.worker.commands(m.addr, this.token, season, cmds, (res) => {
+      m.directBusy = false;
+      const maybe = !res.ok && res.kind === 'unknown';
+      for (const key of starts) {
+        const e = m.entries.get(key);
+        if (e) e.direct = false;
+        if (maybe && m.season === season) {
+          if (m.doubt.size === 0) m.doubtSince = this.o.clock.now();
+          m.doubt.set(key, this.token);
+        }
+      }
+      if (this.gone.has(m.name)) return;
+      const r = res.ok ? res.value : res.report;
+      if (!r) {
+        m.probeFails++;
+        if (starts.length > 0 && !res.ok)
+          this.o.log.debug(
+            { machine: m.name, kind: res.kind, starts: starts.length },
+            'direct command failed',
+          );
+      } else {
+        if (r.token > this.token) return this.o.deposed(r.token);
+        m.probeFails = 0;
+        m.heardAt = this.o.clock.now();
+        if (r.machine === m.name && isNewer(m, r)) this.take(m, r, false);
+      }
+      this.dirty = true;
+      this.direct(m);
+      this.o.wake();
+    });
+  }
+
+  // ---- cloud ----------------------------------------------------------------------------------------
+
+  private pollList(now: number): void {
+    if (this.listing || now < this.nextList || !this.o.entitled()) return;
+    this.listing = true;
+    const all: ListedMachine[] = [];
+    const page = (since: string) => {
+      this.o.cloud.list(since, (r) => {
+        if (!r.ok) {
+          this.listing = false;
+          this.nextList = this.o.clock.now() + 2000;
+          return;
+        }
+        all.push(...r.value.machines);
+        const last = r.value.machines.at(-1);
+        if (r.value.more && last) return page(last.name);
+        this.listing = false;
+        this.nextList = this.o.clock.now() + Math.max(3000, this.o.listLagS * 500);
+        this.takeList(all);
+        this.o.wake();
+      });
+    };
+    page('');
+  }
+
+  private takeList(all: ListedMachine[]): void {
+    const now = this.o.clock.now();
+    for (const l of all) {
+      if (this.gone.has(l.name)) continue;
+      let m = this.machines.get(l.name);
+      if (!m) {
+        m = this.machine(l.name);
+        m.rentedAt = now - l.ageS * 1000;
+        this.o.log.debug({ machine: l.name, type: l.type, phase: l.phase }, 'machine found in the list');
+      }
+      if (!m.up) {
+        m.type = l.type;
+        m.zone = l.zone;
+        m.spot = l.spot;
+        m.addr = l.addr;
+      }
+      if (l.phase === 'failed') this.remove(m, 'failed');
+      // Our token ends whatever an earlier keeper has on its way, and makes the worker report.
+      if (!m.up && l.phase === 'running' && l.addr !== '' && now - m.probeAt > 2000) this.direct(m, true);
+    }
+    this.listed = true;
+  }
+
+  private remove(m: Machine, why: string): void {
+    if (m.removing) return;
+    m.removing = true;
+    this.removeQueue.add(m.name);
+    for (const e of m.entries.values()) if (e.want === 'hold') this.removeEntry(m, e);
+    this.o.log.info(
+      { machine: m.name, type: m.type, spot: m.spot, why, tasks: m.entries.size },
+      'machine returned',
+    );
+  }
+
+  private pollRemove(now: number): void {
+    if (this.removeBusy || this.removeQueue.size === 0 || now < this.removeRetryAt || !this.o.entitled())
+      return;
+    const names = [...this.removeQueue].slice(0, 100);
+    this.removeBusy = true;
+    this.o.cloud.remove(names, (r) => {
+      this.removeBusy = false;
+      if (!r.ok) {
+        this.removeRetryAt = this.o.clock.now() + 1000;
+        return;
+      }
+      for (const n of names) {
+        this.removeQueue.delete(n);
+        this.machineGone(n);
+      }
+      this.o.wake();
+    });
+  }
+
+  /** The cloud answered the deletion: the machine and all on it are gone. */
+  private machineGone(name: string): void {
+    this.gone.add(name);
+    if (this.gone.size > 20000) for (const x of [...this.gone].slice(0, 5000)) this.gone.delete(x);
+    const m = this.machines.get(name);
+    if (!m) return;
+    for (const e of [...m.entries.values()]) {
+      if (e.want !== 'hold' && e.want !== 'reap')
+        this.say(e.team, { s: 'settled', job: e.job, idx: e.idx, attempt: e.attempt, machine: name });
+      this.removeEntry(m, e);
+    }
+    this.machines.delete(name);
+    this.capacity.freed(m);
+    this.dirty = true;
+  }
+
+  private rent(r: Rental): void {
+    const claim = `${this.o.inst}-${this.token}-${++this.claims}`;
+    this.rentalsOut.set(claim, r);
+    this.o.log.info({ claim, ...r }, 'machines asked for');
+    let tries = 0;
+    const ask = () => {
+      this.o.cloud.rent(claim, r.type, r.zone, r.spot, r.n, (res) => {
+        const now = this.o.clock.now();
+        if (res.ok) {
+          this.rentalsOut.delete(claim);
+          for (const name of res.value) {
+            if (this.gone.has(name)) continue;
+            const m = this.machine(name);
+            if (m.type === '') {
+              m.type = r.type;
+              m.zone = r.zone;
+              m.spot = r.spot;
+              m.rentedAt = now;
+            }
+          }
+          if (res.value.length < r.n) this.capacity.refused(r, now);
+          else this.capacity.filled(r);
+          this.o.log.debug({ claim, got: res.value.length }, 'machines rented');
+        } else if (res.kind === 'gone') {
+          this.rentalsOut.delete(claim);
+          this.capacity.refused(r, now);
+          this.o.log.debug({ claim, ...r }, 'no capacity');
+        } else if (res.kind === 'bad' || ++tries >= 6) this.rentalsOut.delete(claim);
+        // The same claim again: what was rented under it is answered, and nothing more is rented.
+        else
+          this.o.clock.after(1000 * tries, () => (this.o.entitled() ? ask() : this.rentalsOut.delete(claim)));
+        this.dirty = true;
+        this.o.wake();
+      });
+    };
+    ask();
+  }
+
+  // ---- room -----------------------------------------------------------------------------------------
+
+  private rooms(now: number): Map<string, Room> {
+    const types = new Map(this.o.types().map((t) => [t.name, t]));
+    const out = new Map<string, Room>();
+    const silent = (this.o.workers.reportS * 1.25 + 1) * 1000;
+    for (const m of this.machines.values()) {
+      const t = types.get(m.type);
+      if (!t || !m.up || m.removing || m.retired || m.leaveAt !== null || this.strange(m)) continue;
+      // A machine not heard of lately gets nothing new.
+      if (now - m.heardAt > silent * 1.6 || m.probeFails > 0) continue;
+      const r = emptyRoom(t, m.zone, m.spot, m.name);
+      r.images = m.images;
+      r.penalty = (now - m.heardAt > silent ? 10 : 0) + (m.errors.size > 0 ? 20 : 0);
+      for (const e of m.entries.values()) {
+        if (!takesRoom(e)) continue;
+        r.cpus -= e.cpus;
+        r.gpus -= e.gpus;
+        r.mem -= e.mem;
+      }
+      out.set(m.name, r);
+    }
+    return out;
+  }
+
+  /** Runs something nobody claims: how much room it takes is not known. */
+  private strange(m: Machine): boolean {
+    for (const key of m.strangers.keys())
+      if (!m.entries.has(key) && m.tasks.get(key)?.phase !== 'exited') return true;
+    return false;
+  }
+
+  private usage(): Map<string, { cpus: number; gpus: number }> {
+    const u = new Map<string, { cpus: number; gpus: number }>();
+    for (const t of this.o.teams.keys()) u.set(t, { cpus: 0, gpus: 0 });
+    for (const m of this.machines.values())
+      for (const e of m.entries.values()) {
+        const x = u.get(e.team);
+        if (!x || !takesRoom(e)) continue;
+        x.cpus += e.cpus;
+        x.gpus += e.gpus;
+      }
+    return u;
+  }
+
+  private within(
+    u: { cpus: number; gpus: number } | undefined,
+    team: string,
+    more: { cpus: number; gpus: number },
+  ): boolean {
+    const t = this.o.teams.get(team);
+    if (!t || !u || (t.cpus <= 0 && t.gpus <= 0)) return false;
+    return u.cpus + more.cpus <= t.cpus + 1e-9 && (more.gpus <= 0 || u.gpus + more.gpus <= t.gpus + 1e-9);
+  }
+
+  /** The zone with the least ordinary room in all, while there are jobs that must be spread over zones. */
+  private scarceZone(): string | null {
+    let spread = false;
+    for (const s of this.serviceShapes.values()) if (s.want.zoneRoom) spread = true;
+    if (!spread) return null;
+    const room = new Map<string, number>();
+    for (const t of this.o.types()) for (const z of t.zones) room.set(z, room.get(z) ?? 0);
+    if (room.size < 2) return null;
+    for (const m of this.machines.values()) {
+      const t = this.o.types().find((x) => x.name === m.type);
+      if (t && !m.spot && room.has(m.zone)) room.set(m.zone, (room.get(m.zone) ?? 0) + t.cpus);
+    }
+    return [...room].sort((a, b) => a[1] - b[1])[0]?.[0] ?? null;
+  }
+
+  private pass(now: number): { want: Want; count: number }[] {
+    const left: { want: Want; count: number }[] = [];
+    const refs: (WantRef & { inside: boolean })[] = [];
+    const usage = this.usage();
+    for (const [inst, wants] of this.wants)
+      for (const want of wants)
+        if (this.heeds(inst, want.team))
+          refs.push({ want, inst, inside: this.within(usage.get(want.team), want.team, want) });
+    refs.sort(
+      (a, b) =>
+        a.want.rank - b.want.rank || Number(b.inside) - Number(a.inside) || a.want.order - b.want.order,
+    );
+    const rooms = this.rooms(now);
+    const list = [...rooms.values()];
+    const scarce = this.scarceZone();
+    const grants = new Map<string, Grant[]>();
+    const promised = this.freeing(now);
+    for (const { want, inst } of refs) {
+      let count = want.count - (this.holds.get(want.job) ?? 0);
+      if (count <= 0 || (want.whole && count < want.count)) continue;
+      const ready = this.o.entitled();
+      if (ready)
+        count = fill(list, want, count, scarce, (r) => {
+          const m = this.machines.get(r.name) as Machine;
+          const u = usage.get(want.team);
+          if (u) {
+            u.cpus += want.cpus;
+            u.gpus += want.gpus;
+          }
+          const g = this.grant(m, want, now);
+          const l = grants.get(inst);
+          if (l) l.push(g);
+          else grants.set(inst, [g]);
+        });
+      if (count <= 0) continue;
+      // Room that stops already under way will free is waited for before more is stopped.
+      const waiting = fill(promised, want, count, scarce, () => {});
+      if (waiting > 0 && ready) this.preempt(want, waiting, usage, now);
+      left.push({ want, count });
+    }
+    for (const [inst, g] of grants) this.o.send(inst, { k: 'grants', token: this.token, grants: g });
+    return left;
+  }
+
+  private grant(m: Machine, w: Want, now: number): Grant {
+    const id = ++this.grants;
+    const e = newEntry(
+      {
+        job: w.job,
+        idx: -1,
+        attempt: 0,
+        machine: m.name,
+        season: m.season,
+        want: 'run',
+        graceS: 0,
+        team: w.team,
+        rank: w.rank,
+        gang: w.whole,
+        service: w.service,
+        cpus: w.cpus,
+        gpus: w.gpus,
+        mem: w.mem,
+        image: w.image,
+        imageGb: w.imageGb,
+        estimateS: w.estimateS,
+        grant: id,
+      },
+      now,
+    );
+    e.key = `grant#${id}`;
+    e.want = 'hold';
+    m.entries.set(e.key, e);
+    this.holds.set(w.job, (this.holds.get(w.job) ?? 0) + 1);
+    return { id, job: w.job, team: w.team, machine: m.name, zone: m.zone, season: m.season };
+  }
+
+  /** Room that will be free once the tasks being stopped are gone. */
+  private freeing(now: number): Room[] {
+    const out: Room[] = [];
+    for (const m of this.machines.values()) {
+      if (m.removing || m.retired || m.leaveAt !== null || !m.up) continue;
+      const t = this.o.types().find((x) => x.name === m.type);
+      if (!t) continue;
+      const r = emptyRoom(t, m.zone, m.spot, m.name);
+      let any = false;
+      for (const e of m.entries.values()) {
+        if (!takesRoom(e)) continue;
+        if (e.want === 'stop' || e.evicting) {
+          any = true;
+          continue;
+        }
+        r.cpus -= e.cpus;
+        r.gpus -= e.gpus;
+        r.mem -= e.mem;
+      }
+      if (any && now - m.heardAt < 10000) out.push(r);
+    }
+    return out;
+  }
+
+  private mayStop(w: Want, e: Entry, usage: Map<string, { cpus: number; gpus: number }>): boolean {
+    if (e.want !== 'run' || e.evicting || e.settled) return false;
+    if (e.rank > w.rank) return true;
+    // Services give way to nothing below them, whatever team they belong to.
+    if (e.rank === 0) return false;
+    if (e.team === w.team) return false;
+    const t = this.o.teams.get(e.team);
+    const u = usage.get(e.team);
+    const beyond = !!t && !!u && u.cpus > t.cpus + 1e-9;
+    return beyond && this.within(usage.get(w.team), w.team, w);
+  }
+
+  /** Stops lower work so that `count` tasks of a want find room; least lost work first. */
+  private preempt(
+    w: Want,
+    count: number,
+    usage: Map<string, { cpus: number; gpus: number }>,
+    now: number,
+  ): void {
+    if (w.whole) return;
+    const types = new Map(this.o.types().map((t) => [t.name, t]));
+    const stops = new Map<string, { job: string; idx: number; attempt: number }[]>();
+    for (let n = 0; n < count; n++) {
+      let pick: { m: Machine; victims: Entry[] } | null = null;
+      let cost = Number.POSITIVE_INFINITY;
+      for (const m of this.machines.values()) {
+        const t = types.get(m.type);
+        if (
+          !t ||
+          !m.up ||
+          m.removing ||
+          m.retired ||
+          m.leaveAt !== null ||
+          now - m.heardAt > 8000 ||
+          m.probeFails > 0
+        )
+          continue;
+        const r = emptyRoom(t, m.zone, m.spot, m.name);
+        if (!allowed(r, w) || w.avoid.includes(m.name)) continue;
+        const may: Entry[] = [];
+        for (const e of m.entries.values()) {
+          if (!takesRoom(e) || e.evicting || e.want === 'stop') continue;
+          r.cpus -= e.cpus;
+          r.gpus -= e.gpus;
+          r.mem -= e.mem;
+          if (this.mayStop(w, e, usage)) may.push(e);
+        }
+        may.sort((a, b) => b.rank - a.rank || b.since - a.since);
+        const victims: Entry[] = [];
+        for (const e of may) {
+          if (r.cpus >= w.cpus && r.mem >= w.mem && r.gpus >= w.gpus) break;
+          victims.push(e);
+          r.cpus += e.cpus;
+          r.gpus += e.gpus;
+          r.mem += e.mem;
+        }
+        if (r.cpus + 1e-9 < w.cpus || r.mem + 1e-9 < w.mem || r.gpus + 1e-9 < w.gpus || victims.length === 0)
+          continue;
+        let c = m.images.has(w.image) ? 0 : w.imageGb * 20;
+        for (const e of victims) c += (e.cpus * (now - e.since)) / 1000 + (3 - e.rank) * 30;
+        if (c < cost) {
+          cost = c;
+          pick = { m, victims };
+        }
+      }
+      if (!pick) break;
+      for (const e of pick.victims) {
+        e.evicting = now;
+        const u = usage.get(e.team);
+        if (u) u.cpus -= e.cpus;
+        const inst = this.owners.get(e.team)?.inst;
+        if (!inst) continue;
+        const l = stops.get(inst) ?? [];
+        l.push({ job: e.job, idx: e.idx, attempt: e.attempt });
+        stops.set(inst, l);
+      }
+    }
+    for (const [inst, tasks] of stops)
+      this.o.send(inst, { k: 'evict', token: this.token, tasks, why: `room for ${w.job}` });
+  }
+
+  // ---- fleet ----------------------------------------------------------------------------------------
+
+  private policyInput(): PolicyInput {
+    let services = 0;
+    let serviceCpus = 0;
+    let batch = 0;
+    for (const m of this.machines.values())
+      for (const e of m.entries.values()) {
+        if (!takesRoom(e)) continue;
+        if (e.service) {
+          services++;
+          serviceCpus += e.cpus;
+        } else batch++;
+      }
+    let queued = 0;
+    let queuedCpus = 0;
+    for (const l of this.wants.values())
+      for (const w of l) {
+        queued += w.count;
+        queuedCpus += w.count * w.cpus;
+      }
+    const boots = this.o.types().map((t) => t.bootS);
+    return {
+      services,
+      service_cpus: serviceCpus,
+      queued,
+      queued_cpus: queuedCpus,
+      batch_running: batch,
+      machines: this.machines.size,
+      report_s: this.o.workers.reportS,
+      lease_s: this.o.workers.leaseS,
+      boot_s: boots.length > 0 ? Math.min(...boots) : 30,
+    };
+  }
+
+  /** Phantom wants: room that the next replicas of services should find at once. */
+  private reserve(): { want: Want; count: number }[] {
+    const shapes = [...this.serviceShapes.values()].sort((a, b) => b.at - a.at);
+    const first = shapes[0];
+    if (!first || this.policyNow.reserve_replicas <= 0) return [];
+    const n = Math.ceil(this.policyNow.reserve_replicas);
+    const base: Want = {
+      ...first.want,
+      job: '',
+      zone: null,
+      types: null,
+      avoid: [],
+      near: '',
+      image: '',
+      imageGb: 0,
+    };
+    const spread = shapes.find((s) => s.want.zoneRoom)?.want;
+    if (!spread) return [{ want: { ...base, zoneRoom: null }, count: n }];
+    const zones = new Set<string>();
+    for (const t of this.o.types()) for (const z of t.zones) zones.add(z);
+    const per = Math.max(1, Math.ceil(n / Math.max(1, zones.size)));
+    return [...zones].map((zone) => ({ want: { ...base, zone, zoneRoom: {}, zoneCap: per }, count: per }));
+  }
+
+  private scale(now: number, left: { want: Want; count: number }[]): void {
+    const types = this.o.types();
+    if (types.length === 0 || !this.o.entitled()) return;
+    const byName = new Map(types.map((t) => [t.name, t]));
+    const p = this.policyNow;
+    const coming: Room[] = [];
+    for (const m of this.machines.values()) {
+      const t = byName.get(m.type);
+      if (m.up || m.removing || !t) continue;
+      coming.push(emptyRoom(t, m.zone, m.spot, m.name));
+    }
+    for (const r of this.rentalsOut.values()) {
+      const t = byName.get(r.type);
+      if (t) for (let k = 0; k < r.n; k++) coming.push(emptyRoom(t, r.zone, r.spot, ''));
+    }
+    const scarce = this.scarceZone();
+    // The reserve may lie in room that lower work uses now and would be stopped for.
+    const rooms = this.reserveRooms(now);
+    const phantom = this.reserve()
+      .map((x) => ({ want: x.want, count: fill(rooms, x.want, x.count, scarce, () => {}) }))
+      .filter((x) => x.count > 0);
+    const need = [...this.afterWaiting(left, now), ...phantom];
+    // A new keeper lets the list, the reports and the owners speak first.
+    const settled = this.o.first || (this.listed && now - this.startedAt > this.o.listLagS * 1000);
+    if (need.length > 0 && settled && this.allSynced()) {
+      const plan = planRentals({
+        left: need,
+        coming,
+        types,
+        capacity: this.capacity,
+        now,
+        amortizeS: p.amortize_s,
+        scarceZone: scarce,
+        maxRentals: 24,
+      });
+      for (const r of plan) this.rent({ ...r, n: Math.min(50, r.n) });
+    }
+    this.returnIdle(now, left);
+  }
+
+  /** Work that running tasks will make room for soon enough needs no machine. */
+  private afterWaiting(left: { want: Want; count: number }[], now: number): { want: Want; count: number }[] {
+    let soon = 0;
+    const limit = this.policyNow.patience_s;
+    for (const m of this.machines.values())
+      for (const e of m.entries.values()) {
+        if (e.service || !takesRoom(e) || e.estimateS <= 0 || e.listed?.phase !== 'running') continue;
+        if (e.estimateS - (now - e.since) / 1000 < limit) soon += e.cpus;
+      }
+    const out: { want: Want; count: number }[] = [];
+    for (const l of left) {
+      if (l.want.service || l.want.whole || l.want.cpus <= 0) {
+        out.push(l);
+        continue;
+      }
+      const covered = Math.min(l.count, Math.floor(soon / l.want.cpus));
+      soon -= covered * l.want.cpus;
+      if (l.count > covered) out.push({ want: l.want, count: l.count - covered });
+    }
+    return out;
+  }
+
+  private reserveRooms(now: number): Room[] {
+    const rooms = this.rooms(now);
+    for (const [name, r] of rooms) {
+      const m = this.machines.get(name) as Machine;
+      for (const e of m.entries.values()) {
+        if (e.service || e.rank === 0 || !takesRoom(e)) continue;
+        r.cpus += e.cpus;
+        r.gpus += e.gpus;
+        r.mem += e.mem;
+      }
+    }
+    return [...rooms.values()];
+  }
+
+  private returnIdle(now: number, left: { want: Want; count: number }[]): void {
+    if (!this.allSynced() || now - this.startedAt < 5000) return;
+    const idleMs = this.policyNow.idle_s * 1000;
+    const types = new Map(this.o.types().map((t) => [t.name, t]));
+    for (const m of this.machines.values()) {
+      if (m.removing) continue;
+      const t = types.get(m.type);
+      if (!m.up) {
+        const patience = (t?.bootS ?? 30) * 1000 * this.policyNow.boot_patience;
+        if (
+          now - m.rentedAt > patience &&
+          now - this.startedAt > this.o.workers.reportS * 4000 &&
+          m.entries.size === 0 &&
+          now - m.heardAt > 10000
+        )
+          this.remove(m, 'did not come up in time');
+        continue;
+      }
+      if (m.entries.size > 0 || m.tasks.size > m.strangers.size) continue;
+      if ([...m.tasks.values()].some((x) => x.phase !== 'exited')) continue;
+      if (m.retired || m.leaveAt !== null) {
+        this.remove(m, 'empty, and not used any more');
+        continue;
+      }
+      if (now - m.idleSince < idleMs) continue;
+      if (
+        left.some(
+          (l) =>
+            t &&
+            allowed(emptyRoom(t, m.zone, m.spot, m.name), l.want) &&
+            l.want.cpus <= t.cpus &&
+            l.want.mem <= t.mem,
+        )
+      )
+        continue;
+      // Not if the reserve needs it.
+      const rooms = this.reserveRooms(now).filter((r) => r.name !== m.name);
+      const scarce = this.scarceZone();
+      const without = this.reserve().reduce((s, x) => s + fill(rooms, x.want, x.count, scarce, () => {}), 0);
+      const all = this.reserveRooms(now);
+      const withIt = this.reserve().reduce((s, x) => s + fill(all, x.want, x.count, scarce, () => {}), 0);
+      if (without > withIt) continue;
+      this.remove(m, 'idle');
+      return;
+    }
+  }
+
+  /** A stop that its owner did not act on is asked for again. */
+  private forgetEvictions(now: number): void {
+    for (const m of this.machines.values())
+      for (const e of m.entries.values())
+        if (e.evicting > 0 && e.want === 'run' && now - e.evicting > 5000) e.evicting = 0;
+  }
+
+  /** Tasks on a machine about to be taken, or retired, move while there is time. */
+  private drain(now: number): void {
+    for (const m of this.machines.values()) {
+      if (m.removing || (m.leaveAt === null && !m.retired)) continue;
+      const stops = new Map<string, { job: string; idx: number; attempt: number }[]>();
+      for (const e of m.entries.values()) {
+        if (e.want !== 'run' || e.evicting) continue;
+        if (m.leaveAt !== null && !e.service && e.estimateS > 0 && e.listed?.phase === 'running') {
+          // What will be finished before the machine goes is left to finish.
+          if (e.estimateS * 0.8 - (now - e.since) / 1000 < (m.leaveAt - now) / 1000) continue;
+        } else if (m.retired && m.leaveAt === null && !e.service) continue;
+        e.evicting = now;
+        const inst = this.owners.get(e.team)?.inst;
+        if (!inst) continue;
+        const l = stops.get(inst) ?? [];
+        l.push({ job: e.job, idx: e.idx, attempt: e.attempt });
+        stops.set(inst, l);
+      }
+      for (const [inst, tasks] of stops)
+        this.o.send(inst, { k: 'evict', token: this.token, tasks, why: `${m.name} leaves` });
+    }
+  }
+
+  /** Silent machines: asked directly, then deleted, unless so many are silent that the fault may be here. */
+  private watchSilence(now: number): void {
+    const report = this.o.workers.reportS * 1000;
+    const probeAfter = report * 1.25 + 1000;
+    const silentMs = this.policyNow.silent_s * 1000;
+    const silent: Machine[] = [];
+    let heard = 0;
+    let counted = 0;
+    for (const m of this.machines.values()) {
+      if (m.removing || (!m.up && m.entries.size === 0)) continue;
+      counted++;
+      // Workers need some time to find a new keeper.
+      const quiet = now - Math.max(m.heardAt, this.startedAt + report);
+      if (quiet < probeAfter) {
+        heard++;
+        continue;
+      }
+      if (m.addr !== '' && now - m.probeAt > 2000 && !m.directBusy) this.direct(m, true);
+      if (quiet > silentMs && (m.probeFails > 0 || m.addr === '')) silent.push(m);
+    }
+    if (silent.length === 0) {
+      this.suspectSince = 0;
+      return;
+    }
+    const many = silent.length > Math.max(2, counted * this.policyNow.silent_share);
+    if (!many || heard >= silent.length) {
+      for (const m of silent) this.remove(m, 'silent');
+      return;
+    }
+    if (this.suspectSince === 0) {
+      this.suspectSince = now;
+      this.o.log.info(
+        { silent: silent.length, heard },
+        'many machines silent at once: suspecting this controller',
+      );
+    }
+    if (heard === 0 && now - this.suspectSince > report) {
+      this.suspectSince = now;
+      this.o.resign('no machine can be heard');
+      return;
+    }
+    // Past their lease their tasks are dead in any case.
+    for (const m of silent)
+      if (now - Math.max(m.heardAt, this.startedAt) > this.o.workers.leaseS * 1000 + 5000)
+        this.remove(m, 'silent past its lease');
+  }
+
+  private watchDoubt(now: number): void {
+    for (const m of this.machines.values()) {
+      if (m.doubt.size === 0 || m.removing || now - m.doubtSince < 10000) continue;
+      for (const e of m.entries.values()) {
+        if (e.want !== 'stop' || e.listed || e.settled || !m.doubt.has(e.key)) continue;
+        this.o.raise(`start of ${e.key} on ${m.name} may still arrive`);
+        return;
+      }
+    }
+  }
+
+  // ---- work at the end of each batch of commands ----------------------------------------------------------
+
+  flush(): void {
+    const now = this.o.clock.now();
+    for (const [inst, seen] of this.outbox) this.o.send(inst, { k: 'seen', token: this.token, seen });
+    this.outbox.clear();
+    if (!this.dirty) return;
+    if (now < this.nextPass) {
+      if (!this.passTimer) {
+        this.passTimer = true;
+        this.o.clock.after(Math.max(1, this.nextPass - now), () => {
+          this.passTimer = false;
+          this.o.wake();
+        });
+      }
+      return;
+    }
+    this.dirty = false;
+    this.nextPass = now + 30;
+    const left = this.pass(now);
+    if (now >= this.nextScale) {
+      this.nextScale = now + 1000;
+      this.scale(now, left);
+    }
+    for (const m of this.machines.values()) if (m.entries.size > 0) this.direct(m);
+    this.pollRemove(now);
+  }
+
+  tick(): void {
+    const now = this.o.clock.now();
+    this.policyNow = this.o.policy(this.policyInput());
+    this.pollList(now);
+    this.watchSilence(now);
+    this.watchDoubt(now);
+    this.forgetEvictions(now);
+    this.drain(now);
+    this.pollRemove(now);
+    this.dirty = true;
+    this.o.wake();
+  }
+
+  /** For logs and tests. */
+  stats(): Record<string, number> {
+    let up = 0;
+    let entries = 0;
+    for (const m of this.machines.values()) {
+      if (m.up) up++;
+      entries += m.entries.size;
+    }
+    return { machines: this.machines.size, up, entries, holds: this.holds.size };
+  }
+}
--- /dev/null
+++ b/src/core/machine.ts
@@ -0,0 +1,112 @@
+import type { Held, TaskReport, WorkerReport } from './types.js';
+import { taskKey } from './types.js';
+
+/** A placement as the keeper holds it: room taken on a machine, and what its worker should do. */
+export interface Entry extends Omit<Held, 'want'> {
+  key: string;
+  /** `hold`: granted, not yet told to be stored. */
+  want: Held['want'] | 'hold';
+  /** Tally of the report whose answer carries its start, until a later report comes. */
+  sentWith: number;
+  /** A direct command with its start is under way. */
+  direct: boolean;
+  listed: TaskReport | null;
+  settled: boolean;
+  told: string;
+  since: number;
+  /** When a stop was asked of its owner; 0: not. */
+  evicting: number;
+}
+
+export interface Machine {
+  name: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  season: number;
+  tally: number;
+  /** Tally of the newest report that came as a report, and not as the answer to a direct command. */
+  reportTally: number;
+  token: number;
+  /** Any sign of life, and reports alone. */
+  heardAt: number;
+  reportAt: number;
+  up: boolean;
+  rentedAt: number;
+  leaveAt: number | null;
+  entries: Map<string, Entry>;
+  tasks: Map<string, TaskReport>;
+  directBusy: boolean;
+  probeAt: number;
+  probeFails: number;
+  /** Starts sent directly without an answer, with the token they were sent under: they may still arrive. */
+  doubt: Map<string, number>;
+  doubtSince: number;
+  images: Map<string, number>;
+  removing: boolean;
+  retired: boolean;
+  idleSince: number;
+  errors: Map<string, number>;
+  strangers: Map<string, number>;
+  runs: number;
+  slow: number;
+}
+
+export function newMachine(name: string, now: number): Machine {
+  return {
+    name,
+    addr: '',
+    type: '',
+    zone: '',
+    spot: false,
+    season: 0,
+    tally: -1,
+    reportTally: -1,
+    token: 0,
+    heardAt: now,
+    reportAt: 0,
+    up: false,
+    rentedAt: now,
+    leaveAt: null,
+    entries: new Map(),
+    tasks: new Map(),
+    directBusy: false,
+    probeAt: 0,
+    probeFails: 0,
+    doubt: new Map(),
+    doubtSince: 0,
+    images: new Map(),
+    removing: false,
+    retired: false,
+    idleSince: now,
+    errors: new Map(),
+    strangers: new Map(),
+    runs: 0,
+    slow: 0,
+  };
+}
+
+export function newEntry(h: Held, now: number): Entry {
+  return {
+    ...h,
+    key: taskKey(h.job, h.idx, h.attempt),
+    sentWith: -1,
+    direct: false,
+    listed: null,
+    settled: false,
+    told: '',
+    since: now,
+    evicting: 0,
+  };
+}
+
+/** Newer than all that was seen from this machine? */
+export function isNewer(m: Machine, r: WorkerReport): boolean {
+  return r.season > m.season || (r.season === m.season && r.tally > m.tally);
+}
+
+/** Takes part in the room of its machine: until its worker says that it ended, or it is settled. */
+export function takesRoom(e: Entry): boolean {
+  return !e.settled && e.listed?.phase !== 'exited' && e.want !== 'reap' && e.want !== 'keep';
+}
--- /dev/null
+++ b/src/core/owner.ts
@@ -0,0 +1,908 @@
+import { Counter, FanOut } from './graph.js';
+import {
+  chunkSize,
+  countRecord,
+  type Placed,
+  type PlaceRecord,
+  placeKey,
+  readJob,
+  releaseWindow,
+  type StoredJob,
+} from './records.js';
+import type {
+  Clock,
+  Grant,
+  Held,
+  JobSpec,
+  KeeperMsg,
+  Logger,
+  OwnerMsg,
+  Seen,
+  StateOp,
+  StatePort,
+  Team,
+  Txn,
+  Want,
+} from './types.js';
+
+interface Placement {
+  idx: number;
+  attempt: number;
+  machine: string;
+  season: number;
+  zone: string;
+  grant: number;
+  /** In the state service; before that no start may be sent. */
+  stored: boolean;
+  want: 'run' | 'stop';
+  running: boolean;
+  /** Settled: may be started elsewhere; `reap` once that is stored. */
+  settled: boolean;
+  listed: boolean;
+}
+
+interface Job {
+  spec: JobSpec;
+  order: number;
+  aMark: number;
+  nMark: number;
+  cancelled: boolean;
+  count: Counter;
+  fan: FanOut;
+  placed: Map<number, Placement>;
+  attempts: Map<number, number>;
+  chunkMarks: Map<number, number>;
+  dirtyChunks: Set<number>;
+  dirtyCount: boolean;
+  /** In the transaction now in flight. */
+  busy: boolean;
+  /** Stored state is being read again; nothing is decided meanwhile. */
+  reloading: boolean;
+  holdUntil: number;
+  failures: number;
+  avoid: Map<string, number>;
+  /** Where its last finished task ran: the next one goes there if it can. */
+  near: string;
+  shownRunning: number;
+  storedRunning: number;
+  toReap: { p: Placement; listed: boolean }[];
+}
+
+export interface OwnerOptions {
+  inst: string;
+  teams: Map<string, Team>;
+  valueKb: number;
+  txnOps: number;
+  /** Most tasks of one job asked for at a time: the pace of a large fan-out. */
+  batch: number;
+  noticeGraceS: number;
+  state: StatePort;
+  clock: Clock;
+  log: Logger;
+  send(msg: OwnerMsg): void;
+  wake(): void;
+}
+
+/** Holds the teams parted to this controller: release, queue, limits, one attempt per task, counters. */
+export class Owner {
+  private readonly jobs = new Map<string, Job>();
+  private readonly teams = new Map<string, { gen: number; loaded: boolean; loading: boolean }>();
+  private readonly archived = new Set<string>();
+  private readonly chunk: number;
+  private readonly window: number;
+  private token = 0;
+  private synced = false;
+  private needSync = false;
+  private wantsDirty = false;
+  private lastWants = '';
+  private txnBusy = false;
+  private retryFlushAt = 0;
+  private outHeld: Held[] = [];
+  private outDrop: { tasks: { machine: string; key: string }[]; grants: number[] } = {
+    tasks: [],
+    grants: [],
+  };
+
+  constructor(private readonly o: OwnerOptions) {
+    this.chunk = chunkSize(o.valueKb);
+    this.window = releaseWindow(o.valueKb);
+  }
+
+  get ownedTeams(): string[] {
+    return [...this.teams.keys()];
+  }
+
+  /** For logs and tests. */
+  stats(): { jobs: number; placed: number } {
+    let placed = 0;
+    for (const j of this.jobs.values()) placed += j.placed.size;
+    return { jobs: this.jobs.size, placed };
+  }
+
+  /** The teams whose records name this instance, by record version. */
+  setTeams(now: Map<string, number>): void {
+    for (const [name, t] of this.teams) {
+      if (now.get(name) === t.gen) continue;
+      this.teams.delete(name);
+      for (const [id, j] of this.jobs) if (j.spec.team === name) this.jobs.delete(id);
+      this.o.log.debug({ team: name }, 'team let go');
+      this.needSync = true;
+    }
+    for (const [name, gen] of now) {
+      if (this.teams.has(name)) continue;
+      this.teams.set(name, { gen, loaded: false, loading: false });
+      this.o.log.debug({ team: name, gen }, 'team taken on');
+    }
+    this.o.wake();
+  }
+
+  /** A keeper with a higher token is heeded from now on; one with a lower token never again. */
+  setKeeper(token: number): void {
+    if (token <= this.token) return;
+    this.token = token;
+    this.synced = false;
+    this.needSync = true;
+    this.o.wake();
+  }
+
+  resync(): void {
+    this.synced = false;
+    this.needSync = true;
+    this.o.wake();
+  }
+
+  // ---- stored state -------------------------------------------------------------------------
+
+  private loadTeams(): void {
+    const wanted = [...this.teams].filter(([, t]) => !t.loaded && !t.loading);
+    if (wanted.length === 0) return;
+    for (const [, t] of wanted) t.loading = true;
+    const found = new Map<string, StoredJob>();
+    const failed = () => {
+      for (const [, t] of wanted) t.loading = false;
+      this.o.clock.after(300, () => this.o.wake());
+    };
+    const page = (prefix: string, since: string, done: () => void) => {
+      this.o.state.list(prefix, since, 1, (r) => {
+        if (!r.ok) return failed();
+        for (const it of r.value.items) readJob(found, it);
+        const last = r.value.items.at(-1);
+        if (r.value.more && last) page(prefix, last.key, done);
+        else done();
+      });
+    };
+    // Jobs first, placements second: an owner's records can only have grown less since the team record
+    // changed, and a job cancelled in between is noticed by its version.
+    page('open/', 'open/', () =>
+      page('place/', 'place/', () => {
+        for (const [name, t] of wanted) {
+          if (this.teams.get(name) !== t) continue;
+          t.loading = false;
+          t.loaded = true;
+          let n = 0;
+          for (const s of found.values()) {
+            if (s.spec?.team !== name) continue;
+            this.adopt(s);
+            n++;
+          }
+          this.o.log.info({ team: name, jobs: n, gen: t.gen }, 'team loaded');
+        }
+        this.needSync = true;
+        this.o.wake();
+      }),
+    );
+  }
+
+  private adopt(s: StoredJob): void {
+    const spec = s.spec;
+    if (!spec || s.order === 0) return;
+    const old = this.jobs.get(spec.id);
+    const j: Job = {
+      spec,
+      order: s.order,
+      aMark: s.aMark,
+      nMark: s.nMark,
+      cancelled: s.cancelled,
+      count: s.count ?? new Counter(spec.tasks),
+      fan: new FanOut(spec.tasks, this.window),
+      placed: new Map(),
+      attempts: new Map(),
+      chunkMarks: new Map(),
+      dirtyChunks: new Set(),
+      dirtyCount: false,
+      busy: false,
+      reloading: false,
+      holdUntil: old?.holdUntil ?? 0,
+      failures: old?.failures ?? 0,
+      avoid: old?.avoid ?? new Map(),
+      near: old?.near ?? '',
+      shownRunning: 0,
+      storedRunning: s.running,
+      toReap: [],
+    };
+    for (const [chunk, rec] of s.places) {
+      j.chunkMarks.set(chunk, rec.mark);
+      for (const [k, p] of Object.entries(rec.tasks)) {
+        const idx = Number(k);
+        j.attempts.set(idx, p[0]);
+        if (p.length < 4 || j.count.has(idx)) continue;
+        j.placed.set(idx, {
+          idx,
+          attempt: p[0],
+          machine: p[1] as string,
+          season: p[2] as number,
+          zone: p[3] as string,
+          grant: 0,
+          stored: true,
+          want: j.cancelled ? 'stop' : 'run',
+          running: old?.placed.get(idx)?.running ?? false,
+          settled: false,
+          listed: false,
+        });
+      }
+    }
+    if (spec.shape === 'gang' && j.count.full) for (const p of j.placed.values()) p.want = 'stop';
+    for (const p of j.placed.values()) if (p.running) j.shownRunning++;
+    j.fan.skipTo((i) => j.count.has(i));
+    this.jobs.set(spec.id, j);
+  }
+
+  private reload(j: Job): void {
+    if (j.reloading) return;
+    j.reloading = true;
+    const id = j.spec.id;
+    const found = new Map<string, StoredJob>();
+    const again = () => this.o.clock.after(300, () => this.jobs.get(id) === j && read());
+    const page = (prefix: string, since: string, done: () => void) => {
+      this.o.state.list(prefix, since, 1, (r) => {
+        if (!r.ok) return void again();
+        for (const it of r.value.items) readJob(found, it);
+        const last = r.value.items.at(-1);
+        if (r.value.more && last) page(prefix, last.key, done);
+        else done();
+      });
+    };
+    const read = () => {
+      found.clear();
+      page(`open/${id}/`, `open/${id}/`, () =>
+        page(`place/${id}/`, `place/${id}/`, () => {
+          if (this.jobs.get(id) !== j) return;
+          const s = found.get(id);
+          if (!s?.spec) this.forget(id);
+          else this.adopt(s);
+          this.o.log.debug({ job: id, found: !!s?.spec }, 'job read again');
+          this.needSync = true;
+          this.o.wake();
+        }),
+      );
+    };
+    read();
+  }
+
+  private forget(id: string): void {
+    this.jobs.delete(id);
+    this.archived.add(id);
+    if (this.archived.size > 5000) for (const x of [...this.archived].slice(0, 1000)) this.archived.delete(x);
+    this.wantsDirty = true;
+  }
+
+  /** A change under `open/`, from the watch. */
+  openChanged(id: string, part: string, value: unknown, mark: number): void {
+    const j = this.jobs.get(id);
+    if (part === 'n') {
+      if (j && mark > j.nMark && !j.busy && !j.reloading) this.reload(j);
+      return;
+    }
+    if (part !== 'a') return;
+    if (j) {
+      if (mark > j.aMark && !j.reloading) {
+        const found = new Map<string, StoredJob>();
+        readJob(found, { key: `open/${id}/a`, value, version: mark });
+        const s = found.get(id);
+        if (s?.cancelled) {
+          j.aMark = mark;
+          this.cancel(j);
+        }
+      }
+      return;
+    }
+    if (this.archived.has(id)) return;
+    const found = new Map<string, StoredJob>();
+    readJob(found, { key: `open/${id}/a`, value, version: mark });
+    const s = found.get(id);
+    if (!s?.spec || !this.teams.get(s.spec.team)?.loaded) return;
+    this.adopt(s);
+    this.o.log.debug({ job: id, tasks: s.spec.tasks, team: s.spec.team }, 'released');
+    this.wantsDirty = true;
+    this.o.wake();
+  }
+
+  private cancel(j: Job): void {
+    if (j.cancelled) return;
+    j.cancelled = true;
+    this.o.log.debug({ job: j.spec.id, placed: j.placed.size }, 'cancelled');
+    for (const p of [...j.placed.values()]) {
+      if (!p.stored && !j.busy) {
+        this.outDrop.grants.push(p.grant);
+        j.placed.delete(p.idx);
+      } else this.stop(j, p, 0);
+    }
+    this.wantsDirty = true;
+    this.o.wake();
+  }
+
+  // ---- keeper ---------------------------------------------------------------------------------
+
+  fromKeeper(m: KeeperMsg): void {
+    if (m.token !== this.token) return;
+    switch (m.k) {
+      case 'synced':
+        this.synced = true;
+        this.wantsDirty = true;
+        this.lastWants = '';
+        break;
+      case 'resync':
+        this.resync();
+        break;
+      case 'grants':
+        this.granted(m.grants);
+        break;
+      case 'seen':
+        for (const s of m.seen) this.saw(s);
+        break;
+      case 'evict':
+        for (const t of m.tasks) this.evict(t.job, t.idx, t.attempt, m.why);
+        break;
+    }
+    this.o.wake();
+  }
+
+  private granted(grants: Grant[]): void {
+    const byJob = new Map<string, Grant[]>();
+    for (const g of grants) {
+      const l = byJob.get(g.job);
+      if (l) l.push(g);
+      else byJob.set(g.job, [g]);
+    }
+    for (const [id, l] of byJob) {
+      const j = this.jobs.get(id);
+      const gang = j?.spec.shape === 'gang';
+      const ok = j && !j.cancelled && !j.reloading && !j.count.full && this.synced;
+      if (!ok || (gang && (l.length !== j.spec.tasks || j.placed.size > 0))) {
+        this.outDrop.grants.push(...l.map((g) => g.id));
+        continue;
+      }
+      for (const g of l) if (!this.place(j, g)) this.outDrop.grants.push(g.id);
+    }
+    this.wantsDirty = true;
+  }
+
+  private place(j: Job, g: Grant): boolean {
+    if (this.roomUnderLimit(j.spec.team, j.spec) < 1) return false;
+    if (!this.zoneAllows(j, g.zone)) return false;
+    const idx = j.fan.take(
+      (i) => j.count.has(i) || j.placed.has(i),
+      (i) => j.count.has(i),
+    );
+    if (idx < 0) return false;
+    const attempt = j.spec.shape === 'gang' ? this.gangAttempt(j) : (j.attempts.get(idx) ?? 0) + 1;
+    j.placed.set(idx, {
+      idx,
+      attempt,
+      machine: g.machine,
+      season: g.season,
+      zone: g.zone,
+      grant: g.id,
+      stored: false,
+      want: 'run',
+      running: false,
+      settled: false,
+      listed: false,
+    });
+    j.dirtyChunks.add(Math.floor(idx / this.chunk));
+    return true;
+  }
+
+  /** All tasks of a gang share one attempt number, above every earlier one. */
+  private gangAttempt(j: Job): number {
+    let top = 0;
+    for (const p of j.placed.values()) if (!p.stored) return p.attempt;
+    for (const a of j.attempts.values()) top = Math.max(top, a);
+    return top + 1;
+  }
+
+  private zoneAllows(j: Job, zone: string): boolean {
+    const s = j.spec;
+    if (s.zone !== null && s.zone !== zone) return false;
+    if (!s.together && !s.apart) return true;
+    let there = 0;
+    for (const p of j.placed.values()) {
+      if (p.zone === zone) there++;
+      else if (s.together) return false;
+    }
+    return !s.apart || there < Math.ceil(s.tasks / 2);
+  }
+
+  private usage(team: string): { cpus: number; gpus: number } {
+    let cpus = 0;
+    let gpus = 0;
+    for (const j of this.jobs.values()) {
+      if (j.spec.team !== team) continue;
+      cpus += j.placed.size * j.spec.cpus;
+      gpus += j.placed.size * j.spec.gpus;
+    }
+    return { cpus, gpus };
+  }
+
+  private roomUnderLimit(team: string, s: JobSpec): number {
+    const t = this.o.teams.get(team);
+    if (!t) return 0;
+    const u = this.usage(team);
+    let n = Number.POSITIVE_INFINITY;
+    if (t.cpusMax > 0 && s.cpus > 0) n = Math.min(n, Math.floor((t.cpusMax - u.cpus) / s.cpus + 1e-9));
+    if (t.gpusMax > 0 && s.gpus > 0) n = Math.min(n, Math.floor((t.gpusMax - u.gpus) / s.gpus + 1e-9));
+    return Math.max(0, n);
+  }
+
+  private saw(s: Seen): void {
+    const j = this.jobs.get(s.job);
+    const p = j?.placed.get(s.idx);
+    if (!j || !p || p.attempt !== s.attempt || p.machine !== s.machine || !p.stored) {
+      // Told again after its outcome was stored: the reap was lost with an earlier keeper.
+      if (s.s === 'phase' && s.phase === 'exited' && !j?.reloading) this.reapStored(j, s);
+      return;
+    }
+    if (s.s === 'settled') {
+      this.settle(j, p, 'gone');
+      return;
+    }
+    p.listed = true;
+    if (s.phase !== 'exited') {
+      const running = s.phase === 'running';
+      if (running !== p.running) {
+        p.running = running;
+        j.shownRunning += running ? 1 : -1;
+        // Users are told `running` from the stored record; one write when the first task runs will do.
+        if (running && j.storedRunning === 0) {
+          j.storedRunning = 1;
+          j.dirtyCount = true;
+        }
+        if (running) this.o.log.debug({ job: s.job, idx: s.idx, machine: s.machine }, 'task runs');
+      }
+      return;
+    }
+    this.o.log.debug(
+      { job: s.job, idx: s.idx, machine: s.machine, attempt: s.attempt, why: s.why },
+      'task ended',
+    );
+    const now = this.o.clock.now();
+    if (s.why === 'done' && j.spec.shape !== 'service') {
+      if (j.count.add(p.idx)) j.dirtyCount = true;
+      // "When one is done, all are": the rest of a gang is counted with it, and settled as it is reported.
+      if (j.spec.shape === 'gang') for (let i = 0; i < j.spec.tasks; i++) j.count.add(i);
+      j.failures = 0;
+      j.near = p.machine;
+    } else if (s.why === 'error' || s.why === 'unknown') {
+      j.failures++;
+      j.avoid.set(p.machine, now + 60000);
+      const pause = Math.min(60000, 500 * 2 ** Math.min(7, j.failures - 1));
+      j.holdUntil = now + pause;
+      this.o.log.info(
+        { job: s.job, idx: s.idx, machine: s.machine, why: s.why, pause_ms: pause },
+        'task failed',
+      );
+      this.o.clock.after(pause, () => this.changed());
+    } else if (s.why === 'no_room' || s.why === 'busy') {
+      j.avoid.set(p.machine, now + 2000);
+    }
+    this.settle(j, p, s.why ?? 'exited');
+  }
+
+  private changed(): void {
+    this.wantsDirty = true;
+    this.o.wake();
+  }
+
+  private reapStored(j: Job | undefined, s: Seen): void {
+    if (!j) return;
+    if (!j.count.has(s.idx) && (j.attempts.get(s.idx) ?? 0) <= s.attempt && j.placed.has(s.idx)) return;
+    if (j.busy || j.dirtyCount || j.dirtyChunks.has(Math.floor(s.idx / this.chunk))) return;
+    this.outHeld.push(this.held(j, s.idx, s.attempt, s.machine, 0, 'reap', 0, 0));
+  }
+
+  private settle(j: Job, p: Placement, why: string): void {
+    if (p.running) j.shownRunning--;
+    p.settled = true;
+    j.placed.delete(p.idx);
+    j.attempts.set(p.idx, Math.max(p.attempt, j.attempts.get(p.idx) ?? 0));
+    j.dirtyChunks.add(Math.floor(p.idx / this.chunk));
+    j.toReap.push({ p, listed: why !== 'gone' });
+    if (!j.count.has(p.idx)) {
+      j.fan.giveBack(p.idx);
+      if (j.spec.shape === 'gang')
+        for (const q of j.placed.values()) if (q.want === 'run') this.stopGangMate(j, q);
+    }
+    this.wantsDirty = true;
+  }
+
+  /** A gang that lost a task starts anew as a whole, once all its tasks are settled. */
+  private stopGangMate(j: Job, p: Placement): void {
+    this.stop(j, p, 0);
+  }
+
+  private stop(j: Job, p: Placement, graceS: number): void {
+    p.want = 'stop';
+    if (p.stored)
+      this.outHeld.push(this.held(j, p.idx, p.attempt, p.machine, p.season, 'stop', graceS, p.grant));
+  }
+
+  private evict(job: string, idx: number, attempt: number, why: string): void {
+    const j = this.jobs.get(job);
+    const p = j?.placed.get(idx);
+    if (!j || !p || p.attempt !== attempt || p.want === 'stop') return;
+    this.o.log.debug({ job, idx, machine: p.machine, why }, 'task stopped to make room');
+    const grace = j.spec.checkpointS > 0 ? j.spec.saveS + this.o.noticeGraceS : 0;
+    if (j.spec.shape === 'gang') {
+      for (const q of j.placed.values()) if (q.want === 'run') this.stop(j, q, grace);
+    } else this.stop(j, p, grace);
+  }
+
+  private held(
+    j: Job,
+    idx: number,
+    attempt: number,
+    machine: string,
+    season: number,
+    want: Held['want'],
+    graceS: number,
+    grant: number,
+  ): Held {
+    const s = j.spec;
+    return {
+      job: s.id,
+      idx,
+      attempt,
+      machine,
+      season,
+      want,
+      graceS,
+      team: s.team,
+      rank: s.rank,
+      gang: s.shape === 'gang',
+      service: s.shape === 'service',
+      cpus: s.cpus,
+      gpus: s.gpus,
+      mem: s.mem,
+      image: s.image,
+      imageGb: s.imageGb,
+      estimateS: s.estimateS,
+      grant,
+    };
+  }
+
+  // ---- work at the end of each batch of commands ------------------------------------------------
+
+  flush(): void {
+    this.loadTeams();
+    this.write();
+    this.tell();
+  }
+
+  private tell(): void {
+    if (this.token === 0) return;
+    const base = { token: this.token, inst: this.o.inst };
+    if (this.needSync) {
+      this.needSync = false;
+      this.outHeld = [];
+      this.outDrop = { tasks: [], grants: [] };
+      this.dropNew();
+      const held: Held[] = [];
+      for (const j of this.jobs.values()) {
+        for (const p of j.placed.values())
+          if (p.stored) held.push(this.held(j, p.idx, p.attempt, p.machine, p.season, p.want, 0, 0));
+        for (const r of j.toReap) {
+          // Settled but not yet stored so: still ours, or the keeper would reap what nobody claims.
+          if (r.listed) held.push(this.held(j, r.p.idx, r.p.attempt, r.p.machine, r.p.season, 'keep', 0, 0));
+        }
+      }
+      const gens: Record<string, number> = {};
+      for (const [name, t] of this.teams) if (t.loaded) gens[name] = t.gen;
+      this.synced = false;
+      this.o.send({ k: 'sync', ...base, gens, held, wants: this.wants() });
+      return;
+    }
+    if (!this.synced) return;
+    if (this.outHeld.length > 0) {
+      this.o.send({ k: 'held', ...base, held: this.outHeld });
+      this.outHeld = [];
+    }
+    if (this.outDrop.tasks.length + this.outDrop.grants.length > 0) {
+      this.o.send({ k: 'drop', ...base, ...this.outDrop });
+      this.outDrop = { tasks: [], grants: [] };
+    }
+    if (this.wantsDirty) {
+      this.wantsDirty = false;
+      const wants = this.wants();
+      const text = JSON.stringify(wants);
+      if (text === this.lastWants) return;
+      this.lastWants = text;
+      this.o.send({ k: 'wants', ...base, wants });
+    }
+  }
+
+  /** Grants of an earlier keeper are void; what was not yet sent to the state service goes back. */
+  private dropNew(): void {
+    for (const j of this.jobs.values()) {
+      if (j.busy) continue;
+      for (const p of [...j.placed.values()]) {
+        if (p.stored) continue;
+        j.placed.delete(p.idx);
+        j.fan.giveBack(p.idx);
+      }
+    }
+  }
+
+  private wants(): Want[] {
+    const now = this.o.clock.now();
+    const jobs = [...this.jobs.values()].filter((j) => !j.cancelled && !j.reloading && !j.count.full);
+    jobs.sort((a, b) => a.spec.rank - b.spec.rank || a.order - b.order);
+    const left = new Map<string, { cpus: number; gpus: number }>();
+    for (const [name, t] of this.teams) {
+      const lim = this.o.teams.get(name);
+      if (!t.loaded || !lim) continue;
+      const u = this.usage(name);
+      left.set(name, {
+        cpus: lim.cpusMax > 0 ? lim.cpusMax - u.cpus : Number.POSITIVE_INFINITY,
+        gpus: lim.gpusMax > 0 ? lim.gpusMax - u.gpus : Number.POSITIVE_INFINITY,
+      });
+    }
+    const out: Want[] = [];
+    for (const j of jobs) {
+      const s = j.spec;
+      const l = left.get(s.team);
+      if (!l || j.holdUntil > now) continue;
+      let open = s.tasks - j.count.n - this.uncountedPlaced(j);
+      if (open <= 0) continue;
+      if (s.shape === 'gang' && j.placed.size > 0) continue;
+      let fit = Number.POSITIVE_INFINITY;
+      if (s.cpus > 0) fit = Math.min(fit, Math.floor(l.cpus / s.cpus + 1e-9));
+      if (s.gpus > 0) fit = Math.min(fit, Math.floor(l.gpus / s.gpus + 1e-9));
+      if (s.shape === 'gang' && fit < s.tasks) continue;
+      // A job that keeps failing is tried with one task at a time.
+      if (j.failures >= 3 && s.shape !== 'gang') open = Math.min(open, Math.max(0, 1 - j.placed.size));
+      open = Math.min(open, fit, s.shape === 'gang' ? s.tasks : this.o.batch);
+      if (open <= 0) continue;
+      l.cpus -= open * s.cpus;
+      l.gpus -= open * s.gpus;
+      out.push(this.want(j, open, now));
+    }
+    return out;
+  }
+
+  private uncountedPlaced(j: Job): number {
+    let n = 0;
+    for (const i of j.placed.keys()) if (!j.count.has(i)) n++;
+    return n;
+  }
+
+  private want(j: Job, open: number, now: number): Want {
+    const s = j.spec;
+    let zone = s.zone;
+    let zoneRoom: Record<string, number> | null = null;
+    const cap = Math.ceil(s.tasks / 2);
+    if (s.apart) zoneRoom = {};
+    for (const p of j.placed.values()) {
+      if (s.together) zone = p.zone;
+      if (zoneRoom) zoneRoom[p.zone] = (zoneRoom[p.zone] ?? cap) - 1;
+    }
+    const avoid: string[] = [];
+    for (const [m, until] of j.avoid) {
+      if (until > now) avoid.push(m);
+      else j.avoid.delete(m);
+    }
+    return {
+      job: s.id,
+      team: s.team,
+      cls: s.cls,
+      rank: s.rank,
+      order: j.order,
+      dueMs: s.deadlineS === null ? null : s.at + s.deadlineS * 1000,
+      count: open,
+      whole: s.shape === 'gang',
+      service: s.shape === 'service',
+      cpus: s.cpus,
+      gpus: s.gpus,
+      mem: s.mem,
+      image: s.image,
+      imageGb: s.imageGb,
+      estimateS: s.estimateS,
+      types: s.types,
+      spot: s.spot,
+      zone,
+      together: s.together,
+      zoneRoom,
+      zoneCap: cap,
+      avoid,
+      near: j.near,
+    };
+  }
+
+  // ---- writing ----------------------------------------------------------------------------------
+
+  private write(): void {
+    if (this.txnBusy || this.o.clock.now() < this.retryFlushAt) return;
+    const txn: Txn = { when: [], then: [] };
+    const after: ((mark: number) => void)[] = [];
+    const part: Job[] = [];
+    const teams = new Set<string>();
+    let bytes = 0;
+    const jobs = [...this.jobs.values()].filter((j) => !j.reloading && !j.busy);
+    // Placements and counters before tidying up.
+    jobs.sort((a, b) => a.spec.rank - b.spec.rank || a.order - b.order);
+    for (const j of jobs) {
+      if (txn.then.length >= this.o.txnOps || bytes > 40000) break;
+      const over = this.isOver(j);
+      if (!over && !j.dirtyCount && j.dirtyChunks.size === 0) continue;
+      const ops: StateOp[] = [];
+      const commit = over
+        ? this.archiveOps(j, this.o.txnOps - txn.then.length, ops)
+        : this.jobOps(j, this.o.txnOps - txn.then.length, ops);
+      if (!commit) continue;
+      for (const op of ops) {
+        bytes += JSON.stringify(op).length;
+        const key = 'put' in op ? op.put : op.del;
+        txn.when.push({ key, version: this.markOf(j, key) });
+        txn.then.push(op);
+      }
+      if (!ops.some((op) => ('del' in op ? op.del : op.put) === `open/${j.spec.id}/a`))
+        txn.when.push({ key: `open/${j.spec.id}/a`, version: j.aMark });
+      if (!ops.some((op) => ('del' in op ? op.del : op.put) === `open/${j.spec.id}/n`))
+        txn.when.push({ key: `open/${j.spec.id}/n`, version: j.nMark });
+      teams.add(j.spec.team);
+      part.push(j);
+      after.push(commit);
+    }
+    if (part.length === 0) return;
+    for (const t of teams) txn.when.push({ key: `sys/team/${t}`, version: this.teams.get(t)?.gen ?? -1 });
+    for (const j of part) j.busy = true;
+    this.txnBusy = true;
+    const urgency = part.some((j) => !this.isOver(j)) ? 1 : 3;
+    this.o.state.txn(txn, urgency, (r) => {
+      this.txnBusy = false;
+      for (const j of part) j.busy = false;
+      if (r.ok) {
+        for (const f of after) f(r.value);
+      } else if (r.kind === 'refused') {
+        this.retryFlushAt = this.o.clock.now() + 100;
+        this.o.clock.after(110, () => this.o.wake());
+      } else {
+        // Not applied, or nobody knows: the stored records decide. A late application finds its conditions
+        // changed, or is seen as a conflict by the next write.
+        this.o.log.debug(
+          { kind: r.kind, failed: r.failed ?? [], jobs: part.map((j) => j.spec.id) },
+          'write not confirmed',
+        );
+        if (r.kind === 'conflict' && r.failed?.every((k) => k.startsWith('sys/team/'))) {
+          // Ownership moved; the watch will tell. Nothing of ours was stored.
+          this.retryFlushAt = this.o.clock.now() + 200;
+          this.o.clock.after(210, () => this.o.wake());
+        }
+        for (const j of part) if (this.jobs.get(j.spec.id) === j) this.reload(j);
+      }
+      this.o.wake();
+    });
+  }
+
+  private markOf(j: Job, key: string): number {
+    if (key === `open/${j.spec.id}/a`) return j.aMark;
+    if (key === `open/${j.spec.id}/n`) return j.nMark;
+    if (key.startsWith('place/')) return j.chunkMarks.get(Number(key.slice(key.lastIndexOf('/') + 1))) ?? 0;
+    return 0;
+  }
+
+  private isOver(j: Job): boolean {
+    return (j.cancelled || (j.count.full && !j.dirtyCount)) && j.placed.size === 0;
+  }
+
+  private jobOps(j: Job, room: number, ops: StateOp[]): ((mark: number) => void) | null {
+    const id = j.spec.id;
+    const countToo = j.dirtyCount;
+    const chunks = [...j.dirtyChunks].slice(0, Math.max(0, room - (countToo ? 1 : 0)));
+    if (room < 1) return null;
+    const news: Placement[] = [];
+    const reaps = j.toReap;
+    const kept: typeof reaps = [];
+    const done: typeof reaps = [];
+    for (const r of reaps)
+      (chunks.includes(Math.floor(r.p.idx / this.chunk)) || (countToo && j.count.has(r.p.idx))
+        ? done
+        : kept
+      ).push(r);
+    if (countToo) ops.push({ put: `open/${id}/n`, value: countRecord(j.count, j.shownRunning) });
+    for (const c of chunks) {
+      const tasks: Record<string, Placed> = {};
+      let any = false;
+      for (let i = c * this.chunk; i < Math.min(j.spec.tasks, (c + 1) * this.chunk); i++) {
+        const p = j.placed.get(i);
+        if (p) {
+          tasks[i] = [p.attempt, p.machine, p.season, p.zone];
+          if (!p.stored) news.push(p);
+          any = true;
+        } else if (!j.count.has(i)) {
+          const a = j.attempts.get(i);
+          if (a) {
+            tasks[i] = [a];
+            any = true;
+          }
+        }
+      }
+      const key = placeKey(id, c);
+      if (any) ops.push({ put: key, value: { t: tasks } satisfies PlaceRecord });
+      else if (j.chunkMarks.get(c)) ops.push({ del: key });
+    }
+    if (ops.length === 0) {
+      for (const c of chunks) j.dirtyChunks.delete(c);
+      return null;
+    }
+    const running = j.shownRunning;
+    j.dirtyCount = false;
+    for (const c of chunks) j.dirtyChunks.delete(c);
+    j.toReap = kept;
+    return (mark) => {
+      if (countToo) {
+        j.nMark = mark;
+        j.storedRunning = running;
+        if (j.count.full) this.o.log.debug({ job: id }, 'counter full: job done');
+      }
+      for (const op of ops) {
+        if ('put' in op && op.put.startsWith('place/'))
+          j.chunkMarks.set(Number(op.put.slice(op.put.lastIndexOf('/') + 1)), mark);
+        if ('del' in op) j.chunkMarks.delete(Number(op.del.slice(op.del.lastIndexOf('/') + 1)));
+      }
+      for (const p of news) {
+        p.stored = true;
+        j.attempts.set(p.idx, p.attempt);
+        if (j.placed.get(p.idx) !== p) continue;
+        const want = j.cancelled ? 'stop' : p.want;
+        p.want = want;
+        this.outHeld.push(this.held(j, p.idx, p.attempt, p.machine, p.season, want, 0, p.grant));
+        this.o.log.debug({ job: id, idx: p.idx, attempt: p.attempt, machine: p.machine }, 'placement stored');
+      }
+      for (const r of done) this.sendReap(j, r);
+    };
+  }
+
+  private sendReap(j: Job, r: { p: Placement; listed: boolean }): void {
+    if (r.listed)
+      this.outHeld.push(this.held(j, r.p.idx, r.p.attempt, r.p.machine, r.p.season, 'reap', 0, 0));
+    else this.outDrop.tasks.push({ machine: r.p.machine, key: `${j.spec.id}/${r.p.idx}#${r.p.attempt}` });
+  }
+
+  /** A job that is over leaves one final record; its working records are dropped, placements first. */
+  private archiveOps(j: Job, room: number, ops: StateOp[]): ((mark: number) => void) | null {
+    const id = j.spec.id;
+    const need = 2 + (j.nMark > 0 ? 1 : 0);
+    if (room < need + Math.min(1, j.chunkMarks.size)) return null;
+    const chunks = [...j.chunkMarks.keys()].slice(0, Math.max(0, room - need));
+    const last = chunks.length === j.chunkMarks.size;
+    for (const c of chunks) ops.push({ del: placeKey(id, c) });
+    if (last) {
+      ops.push({ put: `end/${id}`, value: { d: j.cancelled ? 0 : 1, n: j.count.n } });
+      ops.push({ del: `open/${id}/a` });
+      if (j.nMark > 0) ops.push({ del: `open/${id}/n` });
+    }
+    const reaps = j.toReap;
+    return () => {
+      for (const c of chunks) {
+        j.chunkMarks.delete(c);
+        j.dirtyChunks.delete(c);
+      }
+      for (const r of reaps) this.sendReap(j, r);
+      j.toReap = [];
+      if (last) {
+        this.forget(id);
+        this.o.log.debug({ job: id, cancelled: j.cancelled, done: j.count.n }, 'job filed');
+      }
+    };
+  }
+}
--- /dev/null
+++ b/src/core/policy.ts
@@ -0,0 +1,34 @@
+/** What operators may set by expressions; see src/settings/policy.ts for the names they may use. */
+export interface PolicyInput {
+  services: number;
+  service_cpus: number;
+  queued: number;
+  queued_cpus: number;
+  batch_running: number;
+  machines: number;
+  report_s: number;
+  lease_s: number;
+  boot_s: number;
+}
+
+export interface Policy {
+  /** Service replicas that find room at once, beyond those running. */
+  reserve_replicas: number;
+  /** Seconds a machine may stand empty before it is returned. */
+  idle_s: number;
+  /** Seconds over which boot and image fetch of a rented machine are paid off. */
+  amortize_s: number;
+  /** Multiple of the type's boot time after which a machine that is not up is given up. */
+  boot_patience: number;
+  /** Seconds of silence after which a machine is deleted to settle its tasks. */
+  silent_s: number;
+  /** Share of the machines that may fall silent at once before the controller suspects itself. */
+  silent_share: number;
+  /** Tasks of one job asked for at a time. */
+  batch_tasks: number;
+  /** Seconds between moves of teams among controllers. */
+  parting_s: number;
+  /** Seconds that work which waits behind running tasks is left waiting before machines are rented for it. */
+  patience_s: number;
+}
+export type PolicyFn = (i: PolicyInput) => Policy;
--- /dev/null
+++ b/src/core/room.ts
@@ -0,0 +1,143 @@
+import type { MachineType, Want } from './types.js';
+
+/** Free room of one machine, real or expected. */
+export interface Room {
+  name: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  cpus: number;
+  gpus: number;
+  mem: number;
+  totalCpus: number;
+  images: ReadonlyMap<string, number> | null;
+  fetchGbPerS: number;
+  /** Seconds added to its rank: a machine not heard lately, or slow. */
+  penalty: number;
+}
+
+const EPS = 1e-9;
+
+export function fits(r: Room, w: { cpus: number; gpus: number; mem: number }): boolean {
+  return r.cpus + EPS >= w.cpus && r.gpus + EPS >= w.gpus && r.mem + EPS >= w.mem;
+}
+
+export function allowed(r: { type: string; zone: string; spot: boolean }, w: Want): boolean {
+  if (r.spot && !w.spot) return false;
+  if (w.types && !w.types.includes(r.type)) return false;
+  if (w.zone !== null && w.zone !== r.zone) return false;
+  return !w.zoneRoom || (w.zoneRoom[r.zone] ?? w.zoneCap) > 0;
+}
+
+export function slots(
+  t: { cpus: number; gpus: number; mem: number },
+  w: { cpus: number; gpus: number; mem: number },
+): number {
+  let n = Number.POSITIVE_INFINITY;
+  if (w.cpus > 0) n = Math.min(n, Math.floor(t.cpus / w.cpus + EPS));
+  if (w.gpus > 0) n = Math.min(n, Math.floor(t.gpus / w.gpus + EPS));
+  if (w.mem > 0) n = Math.min(n, Math.floor(t.mem / w.mem + EPS));
+  return Number.isFinite(n) ? n : 1;
+}
+
+export function take(r: Room, w: { cpus: number; gpus: number; mem: number }): void {
+  r.cpus -= w.cpus;
+  r.gpus -= w.gpus;
+  r.mem -= w.mem;
+}
+
+/** Seconds-like rank of a room for a want, lower is better: image fetch, then packing, then kind. */
+export function rankRoom(r: Room, w: Want, scarceZone: string | null): number {
+  let v = r.penalty;
+  if (r.images && !r.images.has(w.image)) v += w.imageGb / Math.max(0.01, r.fetchGbPerS);
+  // Fullest machine first, so that others empty and can be returned.
+  v += (2 * (r.cpus - w.cpus)) / Math.max(1, r.totalCpus);
+  // A small machine is given back sooner than a big one is emptied.
+  if (w.near === r.name) v -= 1;
+  // Work that may use cheap machines leaves the ordinary ones to work that may not.
+  if (w.spot && !r.spot) v += 4;
+  // A zone that jobs which must be spread depend on is left to them.
+  if (scarceZone === r.zone && !w.zoneRoom) v += 6;
+  return v;
+}
+
+export function best(rooms: Iterable<Room>, w: Want, scarceZone: string | null): Room | null {
+  let found: Room | null = null;
+  let rank = Number.POSITIVE_INFINITY;
+  for (const r of rooms) {
+    if (!fits(r, w) || !allowed(r, w) || w.avoid.includes(r.name)) continue;
+    const v = rankRoom(r, w, scarceZone);
+    if (v < rank) {
+      rank = v;
+      found = r;
+    }
+  }
+  return found;
+}
+
+/** Places up to `count` tasks of a want; calls back per task. Returns how many were left. */
+export function fill(
+  rooms: Room[],
+  w: Want,
+  count: number,
+  scarceZone: string | null,
+  each: (r: Room) => void,
+): number {
+  if (w.whole) return fillWhole(rooms, w, count, scarceZone, each);
+  const zoneRoom = w.zoneRoom ? { ...w.zoneRoom } : null;
+  const v: Want = { ...w, zoneRoom };
+  let left = count;
+  while (left > 0) {
+    const r = best(rooms, v, scarceZone);
+    if (!r) break;
+    take(r, w);
+    if (zoneRoom) zoneRoom[r.zone] = (zoneRoom[r.zone] ?? w.zoneCap) - 1;
+    if (v.together && v.zone === null) v.zone = r.zone;
+    each(r);
+    left--;
+  }
+  return left;
+}
+
+/** A gang takes all its places or none; with one zone demanded, each zone is tried in turn. */
+function fillWhole(
+  rooms: Room[],
+  w: Want,
+  count: number,
+  scarceZone: string | null,
+  each: (r: Room) => void,
+): number {
+  const zones = w.together && w.zone === null ? [...new Set(rooms.map((r) => r.zone))] : [w.zone];
+  for (const zone of zones) {
+    const copy = new Map<Room, Room>();
+    for (const r of rooms) copy.set(r, { ...r });
+    const chosen: Room[] = [];
+    const back = new Map([...copy].map(([a, b]) => [b, a]));
+    const left = fill([...copy.values()], { ...w, whole: false, zone }, count, scarceZone, (r) =>
+      chosen.push(back.get(r) as Room),
+    );
+    if (left > 0) continue;
+    for (const r of chosen) {
+      take(r, w);
+      each(r);
+    }
+    return 0;
+  }
+  return count;
+}
+
+export function emptyRoom(t: MachineType, zone: string, spot: boolean, name: string): Room {
+  return {
+    name,
+    type: t.name,
+    zone,
+    spot,
+    cpus: t.cpus,
+    gpus: t.gpus,
+    mem: t.mem,
+    totalCpus: t.cpus,
+    images: null,
+    fetchGbPerS: t.fetchGbPerS,
+    penalty: 0,
+  };
+}
--- /dev/null
+++ b/src/core/types.ts
@@ -0,0 +1,258 @@
+/** Words used everywhere inside; the protocol's own names are known to src/wire alone. */
+
+export type Shape = 'array' | 'gang' | 'service';
+/** 0 is the highest: prod, urgent, standard, low. */
+export type Rank = 0 | 1 | 2 | 3;
+
+export interface JobSpec {
+  id: string;
+  cls: string;
+  team: string;
+  shape: Shape;
+  rank: Rank;
+  tasks: number;
+  cpus: number;
+  gpus: number;
+  mem: number;
+  image: string;
+  imageGb: number;
+  types: string[] | null;
+  zone: string | null;
+  together: boolean;
+  apart: boolean;
+  spot: boolean;
+  estimateS: number;
+  checkpointS: number;
+  saveS: number;
+  deadlineS: number | null;
+  /** Time of day of acceptance in ms, used for deadlines only. */
+  at: number;
+}
+
+export interface MachineType {
+  name: string;
+  cpus: number;
+  gpus: number;
+  mem: number;
+  cacheGb: number;
+  fetchGbPerS: number;
+  price: number;
+  spotPrice: number;
+  bootS: number;
+  zones: string[];
+}
+
+export interface Team {
+  name: string;
+  cpus: number;
+  cpusMax: number;
+  gpus: number;
+  gpusMax: number;
+}
+
+export type TaskPhase = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
+export type ExitWhy = 'done' | 'stopped' | 'peers' | 'alone' | 'error' | 'no_room' | 'busy' | 'unknown';
+
+export interface TaskReport {
+  job: string;
+  idx: number;
+  attempt: number;
+  phase: TaskPhase;
+  why: ExitWhy | null;
+  saved: boolean;
+}
+
+export interface WorkerReport {
+  machine: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  season: number;
+  tally: number;
+  token: number;
+  noticeS: number | null;
+  tasks: TaskReport[];
+}
+
+export type WorkerCommand =
+  | { op: 'start'; job: string; idx: number; attempt: number }
+  | { op: 'stop'; job: string; idx: number; attempt: number; graceS: number }
+  | { op: 'reap'; job: string; idx: number; attempt: number };
+
+export interface ListedMachine {
+  name: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  phase: 'booting' | 'running' | 'failed';
+  ageS: number;
+}
+
+/** Work of one job that its owner would start now if it had room. */
+export interface Want {
+  job: string;
+  team: string;
+  cls: string;
+  rank: Rank;
+  /** Release order: the revision of the acceptance, or better for a job already begun. */
+  order: number;
+  /** Latest useful start in ms of the time of day, or null. */
+  dueMs: number | null;
+  count: number;
+  /** All or none. */
+  whole: boolean;
+  service: boolean;
+  cpus: number;
+  gpus: number;
+  mem: number;
+  image: string;
+  imageGb: number;
+  estimateS: number;
+  types: string[] | null;
+  spot: boolean;
+  zone: string | null;
+  together: boolean;
+  /** At most so many more in a zone, for jobs that must be spread. */
+  zoneRoom: Record<string, number> | null;
+  zoneCap: number;
+  /** Machines on which this job failed lately. */
+  avoid: string[];
+  near: string;
+}
+
+/** An unsettled placement as its owner tells it to the keeper. */
+export interface Held {
+  job: string;
+  idx: number;
+  attempt: number;
+  machine: string;
+  season: number;
+  /** `keep`: ended, its outcome is being stored. */
+  want: 'run' | 'stop' | 'keep' | 'reap';
+  graceS: number;
+  team: string;
+  rank: Rank;
+  gang: boolean;
+  service: boolean;
+  cpus: number;
+  gpus: number;
+  mem: number;
+  image: string;
+  imageGb: number;
+  estimateS: number;
+  grant: number;
+}
+
+export interface Grant {
+  id: number;
+  job: string;
+  team: string;
+  machine: string;
+  zone: string;
+  season: number;
+}
+
+/** Owner to keeper. `gens` names the version of each team record the sender acts under. */
+export type OwnerMsg =
+  | { k: 'sync'; token: number; inst: string; gens: Record<string, number>; held: Held[]; wants: Want[] }
+  | { k: 'wants'; token: number; inst: string; wants: Want[] }
+  | { k: 'held'; token: number; inst: string; held: Held[] }
+  | { k: 'drop'; token: number; inst: string; tasks: { machine: string; key: string }[]; grants: number[] };
+
+/** What became of placements, as the keeper saw it. */
+export type Seen =
+  | {
+      s: 'phase';
+      job: string;
+      idx: number;
+      attempt: number;
+      machine: string;
+      phase: TaskPhase;
+      why: ExitWhy | null;
+      saved: boolean;
+    }
+  | { s: 'settled'; job: string; idx: number; attempt: number; machine: string };
+
+export type KeeperMsg =
+  | { k: 'synced'; token: number }
+  | { k: 'resync'; token: number }
+  | { k: 'grants'; token: number; grants: Grant[] }
+  | { k: 'seen'; token: number; seen: Seen[] }
+  | { k: 'evict'; token: number; tasks: { job: string; idx: number; attempt: number }[]; why: string };
+
+export function taskKey(job: string, idx: number, attempt: number): string {
+  return `${job}/${idx}#${attempt}`;
+}
+
+export type Fields = Record<string, unknown>;
+export interface Logger {
+  debug(f: Fields, msg: string): void;
+  info(f: Fields, msg: string): void;
+  error(f: Fields, msg: string): void;
+}
+
+export type StateOp = { put: string; value: unknown; lease?: number } | { del: string };
+export interface Txn {
+  when: { key: string; version: number }[];
+  then: StateOp[];
+}
+export interface Item {
+  key: string;
+  value: unknown;
+  version: number;
+  lease?: number;
+}
+export type StateEvent = { key: string; version: number; value: unknown; gone: boolean };
+
+/** `refused`: surely not executed. `unknown`: may have been, or may yet be. */
+export type Failure = {
+  ok: false;
+  kind: 'conflict' | 'refused' | 'unknown' | 'gone' | 'bad';
+  failed?: string[];
+  report?: WorkerReport;
+};
+export type Result<T> = { ok: true; value: T } | Failure;
+export type Then<T> = (r: Result<T>) => void;
+
+/** Urgency of a state request: leases, stops and placements, ordinary, tidying up. */
+export type Urgency = 0 | 1 | 2 | 3;
+
+export interface StatePort {
+  get(key: string, u: Urgency, cb: Then<Item | null>): void;
+  list(
+    prefix: string,
+    since: string,
+    u: Urgency,
+    cb: Then<{ items: Item[]; more: boolean; rev: number }>,
+  ): void;
+  txn(t: Txn, u: Urgency, cb: Then<number>): void;
+  grant(ttlMs: number, cb: Then<number>): void;
+  touch(lease: number, cb: Then<null>): void;
+  end(lease: number, cb: Then<null>): void;
+  watch(prefix: string, since: number, waitMs: number, cb: Then<{ rev: number; events: StateEvent[] }>): void;
+}
+
+export interface CloudPort {
+  types(cb: Then<MachineType[]>): void;
+  rent(claim: string, type: string, zone: string, spot: boolean, n: number, cb: Then<string[]>): void;
+  remove(names: string[], cb: Then<null>): void;
+  list(since: string, cb: Then<{ machines: ListedMachine[]; more: boolean }>): void;
+}
+
+export interface WorkerPort {
+  /** Straight to a worker. `refused`: 409 or a connection that was never made; nothing was executed. */
+  commands(addr: string, token: number, season: number, cmds: WorkerCommand[], cb: Then<WorkerReport>): void;
+}
+
+export interface Clock {
+  /** Steady milliseconds. */
+  now(): number;
+  /** Time of day in milliseconds, within the bound of the settings. */
+  wall(): number;
+  after(ms: number, fn: () => void): () => void;
+  /** After what is already waiting to be handled. */
+  soon(fn: () => void): void;
+  random(): number;
+}
--- /dev/null
+++ b/src/io/cloud.ts
@@ -0,0 +1,80 @@
+import type { CloudPort, ListedMachine, MachineType, Then } from '../core/types.js';
+import { readList, readRented, readTypes, writeRemoval, writeRental } from '../wire/cloud.js';
+import { parse } from '../wire/json.js';
+import { Client, type Reply } from './client.js';
+
+type Job = { urgency: number; method: string; path: string; body: unknown; cb: (r: Reply) => void };
+
+/** The cloud's interface: one queue, deletions first, then rentals, then lists, under its limit of calls. */
+export class CloudClient implements CloudPort {
+  private readonly client: Client;
+  private readonly queue: Job[] = [];
+  private tokens: number;
+  private at = Date.now();
+  private timer: NodeJS.Timeout | null = null;
+
+  constructor(
+    addr: string,
+    private readonly rps: number,
+  ) {
+    this.client = new Client(addr, 6);
+    this.tokens = rps;
+  }
+
+  private call(urgency: number, method: string, path: string, body: unknown, cb: (r: Reply) => void): void {
+    this.queue.push({ urgency, method, path, body, cb });
+    this.queue.sort((a, b) => a.urgency - b.urgency);
+    this.pump();
+  }
+
+  private pump(): void {
+    const now = Date.now();
+    // A little under the limit: another controller may have led a moment ago.
+    this.tokens = Math.min(this.rps, this.tokens + (Math.max(0, now - this.at) / 1000) * this.rps * 0.85);
+    this.at = now;
+    while (this.queue.length > 0 && this.tokens >= 1) {
+      const j = this.queue.shift() as Job;
+      this.tokens -= 1;
+      this.client.call(j.method, j.path, j.body, 5000, (r) => {
+        if (r.status === 429) this.tokens = Math.min(this.tokens, 0);
+        j.cb(r);
+      });
+    }
+    if (this.queue.length > 0 && !this.timer)
+      this.timer = setTimeout(() => {
+        this.timer = null;
+        this.pump();
+      }, 50);
+  }
+
+  types(cb: Then<MachineType[]>): void {
+    this.call(3, 'GET', '/machine_types', undefined, (r) => {
+      if (r.status !== 200) return cb({ ok: false, kind: 'refused' });
+      cb({ ok: true, value: readTypes(parse(r.text)) });
+    });
+  }
+
+  rent(claim: string, type: string, zone: string, spot: boolean, n: number, cb: Then<string[]>): void {
+    this.call(1, 'POST', '/machines', writeRental(claim, type, zone, spot, n), (r) => {
+      if (r.status === 0) return cb({ ok: false, kind: 'unknown' });
+      if (r.status === 400) return cb({ ok: false, kind: 'bad' });
+      if (r.status === 503 && r.text.includes('no capacity')) return cb({ ok: false, kind: 'gone' });
+      const names = r.status === 200 ? readRented(parse(r.text)) : null;
+      cb(names ? { ok: true, value: names } : { ok: false, kind: 'refused' });
+    });
+  }
+
+  remove(names: string[], cb: Then<null>): void {
+    this.call(0, 'POST', '/machines/delete', writeRemoval(names), (r) =>
+      cb(r.status === 200 ? { ok: true, value: null } : { ok: false, kind: 'unknown' }),
+    );
+  }
+
+  list(since: string, cb: Then<{ machines: ListedMachine[]; more: boolean }>): void {
+    const q = since === '' ? '' : `since=${encodeURIComponent(since)}&`;
+    this.call(2, 'GET', `/machines?${q}page=500`, undefined, (r) => {
+      const v = r.status === 200 ? readList(parse(r.text)) : null;
+      cb(v ? { ok: true, value: v } : { ok: false, kind: 'refused' });
+    });
+  }
+}
--- /dev/null
+++ b/src/io/http.ts
@@ -0,0 +1,123 @@
+import type http from 'node:http';
+import { serve } from '@hono/node-server';
+import { type Context, Hono } from 'hono';
+import type { Controller } from '../core/controller.js';
+import type { DoorAnswer } from '../core/door.js';
+import { ProgressLimit } from '../core/limits.js';
+import type { Clock, Logger } from '../core/types.js';
+import { isJobId, readJob, writeState } from '../wire/jobs.js';
+import { isObj, parse, str } from '../wire/json.js';
+import { readReport, writeAnswer } from '../wire/worker.js';
+
+const MOST_BODY = 64 * 1024;
+
+function later(c: Context, reason: string): Response {
+  c.header('Retry-After', '1');
+  return c.json({ error: reason }, 503);
+}
+
+function answer(c: Context, id: string, a: DoorAnswer): Response {
+  switch (a.s) {
+    case 'job':
+      return c.json(writeState(id, a), a.created ? 201 : 200);
+    case 'unknown':
+      return c.json({ error: 'no such job' }, 404);
+    case 'never':
+      return c.json({ error: a.reason }, 422);
+    case 'later':
+      return later(c, a.reason);
+  }
+}
+
+/** The body as text, or null if it is over the limit. */
+async function read(c: Context): Promise<string | null> {
+  if (Number(c.req.header('content-length') ?? 0) > MOST_BODY) return null;
+  const text = await c.req.text();
+  return text.length > MOST_BODY || Buffer.byteLength(text) > MOST_BODY ? null : text;
+}
+
+export function makeApp(ctl: Controller, clock: Clock, log: Logger): Hono {
+  const app = new Hono();
+  // Users alone: reports and health checks are never held up by them.
+  const limit = new ProgressLimit(64, 8, 400, 400);
+
+  const limited = async (c: Context, work: () => Promise<Response>): Promise<Response> => {
+    if (!limit.enter()) return later(c, 'too many requests in progress');
+    const t = clock.now();
+    try {
+      return await work();
+    } finally {
+      const now = clock.now();
+      limit.leave(now, now - t);
+    }
+  };
+
+  app.post('/v2/runs', (c) =>
+    limited(c, async () => {
+      const text = await read(c);
+      if (text === null) return c.json({ error: 'body over 64 KiB' }, 400);
+      const job = readJob(parse(text), clock.wall());
+      if (job.ok)
+        return new Promise((done) => ctl.door.submit(job.spec, (a) => done(answer(c, job.spec.id, a))));
+      const id = job.id;
+      if (id === null) return c.json({ error: job.reason }, 400);
+      // The repeat of an accepted job is answered as one, whatever it holds.
+      return new Promise((done) =>
+        ctl.door.poll(id, (a) =>
+          done(a.s === 'unknown' ? c.json({ error: job.reason }, 400) : answer(c, id, a)),
+        ),
+      );
+    }),
+  );
+  app.get('/v2/runs/:id', (c) =>
+    limited(c, () => {
+      const id = c.req.param('id');
+      if (!isJobId(id)) return Promise.resolve(c.json({ error: 'no such job' }, 404));
+      return new Promise((done) => ctl.door.poll(id, (a) => done(answer(c, id, a))));
+    }),
+  );
+  app.post('/v2/runs/:id/abort', (c) =>
+    limited(c, () => {
+      const id = c.req.param('id');
+      if (!isJobId(id)) return Promise.resolve(c.json({ error: 'no such job' }, 404));
+      return new Promise((done) => ctl.door.abort(id, (a) => done(answer(c, id, a))));
+    }),
+  );
+  app.get('/ready', (c) => (ctl.ready() ? c.json({ ready: true }) : later(c, 'not ready')));
+  app.post('/hello', async (c) => {
+    const body = parse(await c.req.text());
+    const report = readReport(body);
+    if (!report) {
+      log.info({ machine: isObj(body) ? str(body.trunk) : null }, 'malformed report dropped');
+      return c.json({ error: 'malformed report' }, 400);
+    }
+    const a = ctl.report(report);
+    if (a.s === 'ok') return c.json(writeAnswer(a.token, a.cmds));
+    if (a.s === 'later') return later(c, 'state service not reached');
+    return c.json(a.keeper === null ? {} : { keeper: a.keeper }, 421);
+  });
+  app.notFound((c) => c.json({ error: 'no such path' }, 404));
+  app.onError((e, c) => {
+    log.error({ err: e.stack ?? String(e) }, 'request failed');
+    return later(c, 'internal error');
+  });
+  return app;
+}
+
+export function listen(app: Hono, bind: string, fdLimit: number, log: Logger): void {
+  const cut = bind.lastIndexOf(':');
+  const server = serve({
+    fetch: app.fetch,
+    hostname: bind.slice(0, cut),
+    port: Number(bind.slice(cut + 1)),
+  }) as http.Server;
+  // Connections stay open until a side closes them; only those idle for long are given up.
+  server.keepAliveTimeout = 120000;
+  server.headersTimeout = 20000;
+  server.requestTimeout = 20000;
+  server.maxConnections = Math.max(50, fdLimit - 150);
+  server.on('error', (e) => {
+    log.error({ err: String(e) }, 'cannot listen');
+    process.exit(1);
+  });
+}
--- /dev/null
+++ b/test/graph.test.ts
@@ -0,0 +1,55 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { Counter, FanOut } from '../src/core/graph.js';
+import { countRecord, decodeBits, releaseWindow } from '../src/core/records.js';
+
+test('a counter counts each input once, and its record brings it back', () => {
+  fc.assert(
+    fc.property(fc.integer({ min: 1, max: 400 }), fc.array(fc.nat(450)), (size, adds) => {
+      const c = new Counter(size);
+      const seen = new Set<number>();
+      for (const i of adds) {
+        expect(c.add(i)).toBe(i < size && !seen.has(i));
+        if (i < size) seen.add(i);
+      }
+      expect(c.n).toBe(seen.size);
+      expect(c.full).toBe(seen.size === size);
+      const back = new Counter(size);
+      decodeBits(back, countRecord(c, 0).b);
+      expect([...back.bits]).toEqual([...c.bits]);
+    }),
+  );
+});
+
+test('the counter record of 100,000 tasks fits a value of 8 KiB whatever order they end in', () => {
+  const window = releaseWindow(8);
+  const c = new Counter(100000);
+  const fan = new FanOut(100000, window);
+  // The worst case: every second task of the window never ends.
+  for (;;) {
+    const i = fan.take(
+      () => false,
+      (k) => c.has(k),
+    );
+    if (i < 0) break;
+    if (i % 2 === 1) c.add(i);
+  }
+  expect(c.n).toBeGreaterThan(window / 2 - 2);
+  expect(JSON.stringify(countRecord(c, 99999)).length).toBeLessThan(8 * 1024);
+});
+
+test('release goes in order, returned inputs first, none twice', () => {
+  const fan = new FanOut(6, 100);
+  const counted = new Set<number>();
+  const take = () =>
+    fan.take(
+      (i) => counted.has(i),
+      (i) => counted.has(i),
+    );
+  expect([take(), take(), take()]).toEqual([0, 1, 2]);
+  fan.giveBack(1);
+  fan.giveBack(1);
+  expect([take(), take()]).toEqual([1, 3]);
+  counted.add(4);
+  expect([take(), take()]).toEqual([5, -1]);
+});
--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,85 @@
+import { readFileSync } from 'node:fs';
+import { expect, test } from 'vitest';
+import { checkPolicy } from '../src/settings/policy.js';
+import { checkSettings, SettingsError } from '../src/settings/settings.js';
+
+const GOOD = `
+host_name = "a-0"
+area = "z1"
+bind = "127.0.0.1:8080"
+mesh_addr = "127.0.0.1:8081"
+later_field = 1
+[services]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[params]
+size = 1
+zones = ["z1"]
+skew_ms = 10.0
+[[params.teams]]
+name = "t"
+cpus = 0.0
+cpus_max = 0.0
+gpus = 0.0
+gpus_max = 0.0
+[params.workers]
+report_s = 3.0
+lease_s = 30.0
+gang_wait_s = 10.0
+gang_peer_s = 5.0
+cancel_s = 60.0
+[params.state]
+rps = 100.0
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 32
+[params.cloud]
+rps = 3.0
+list_lag_s = 5.0
+[params.limits]
+core_share = 0.4
+mem_mb = 300.0
+fd_limit = 1000
+`;
+const faults = (f: () => unknown): string[] => {
+  try {
+    f();
+  } catch (e) {
+    if (e instanceof SettingsError) return e.faults;
+  }
+  return [];
+};
+
+test('settings: good ones pass, each fault is named with its field', () => {
+  expect(checkSettings(GOOD).params.teams[0]?.name).toBe('t');
+  const bad = GOOD.replace('size = 1', 'size = 0')
+    .replace('bind = "127.0.0.1:8080"', 'bind = "nowhere"')
+    .replace('cpus = 0.0\n', '');
+  const f = faults(() => checkSettings(bad));
+  expect(f.map((x) => x.split(':')[0])).toEqual(['bind', 'params.size', 'params.teams.0.cpus']);
+});
+
+test('policy: the default works, unknown keys and wrong types are named with their line', () => {
+  const text = readFileSync(new URL('../deploy/policy.toml', import.meta.url), 'utf8');
+  const input = {
+    services: 100,
+    service_cpus: 200,
+    queued: 3,
+    queued_cpus: 9,
+    batch_running: 1,
+    machines: 4,
+    report_s: 3,
+    lease_s: 34,
+    boot_s: 15,
+  };
+  expect(checkPolicy(text)(input).silent_s).toBeGreaterThan(3);
+  const f = faults(() =>
+    checkPolicy(
+      `${text}\nsurprise = 1\n`
+        .replace(/^idle_s = .*$/m, 'idle_s = "services > 2.0"')
+        .replace(/^silent_s = .*$/m, 'silent_s = "no_such + 1.0"'),
+    ),
+  );
+  expect(f.length).toBe(3);
+  expect(f.every((x) => /^policy\.(surprise|idle_s|silent_s) \(line \d+\): /.test(x))).toBe(true);
+});
