--- /dev/null
+++ b/test/days.test.ts
@@ -0,0 +1,17 @@
+import { expect, test } from 'vitest';
+import { playDay } from './standin/day.js';
+
+// Seeded days over three controllers; SEEDS and FROM widen the search by hand.
+const from = Number(process.env.FROM ?? 1);
+const seeds = Number(process.env.SEEDS ?? 24);
+
+test.each(Array.from({ length: seeds }, (_, i) => from + i))(
+  'day %i keeps the rules and finishes its work',
+  (seed) => {
+    const w = playDay(seed, seed % 6);
+    expect(w.broken.slice(0, 5)).toEqual([]);
+    expect(w.unfinished()).toEqual([]);
+    expect(w.starts).toBeGreaterThan(0);
+  },
+  120000,
+);
--- /dev/null
+++ b/test/standin/day.ts
@@ -0,0 +1,163 @@
+import type { JobSpec } from '../../src/core/types.js';
+import type { Mode } from './sim.js';
+import { TEAMS, World } from './world.js';
+
+export function job(w: World, over: Partial<JobSpec>): JobSpec {
+  return {
+    id: `wk-${String(w.jobs.size + 1).padStart(6, '0')}`,
+    cls: 'c',
+    team: 'red',
+    shape: 'array',
+    rank: 2,
+    tasks: 3,
+    cpus: 1,
+    gpus: 0,
+    mem: 1,
+    image: 'img-1',
+    imageGb: 1,
+    types: null,
+    zone: null,
+    together: false,
+    apart: false,
+    spot: true,
+    estimateS: 5,
+    checkpointS: 0,
+    saveS: 0,
+    deadlineS: null,
+    at: 0,
+    ...over,
+  };
+}
+
+function randomJob(w: World): JobSpec {
+  const s = w.sim;
+  const shape = s.pick(['array', 'array', 'array', 'service', 'gang'] as const);
+  const checkpointS = s.chance(0.3) ? 1 : 0;
+  return job(w, {
+    team: s.pick(TEAMS).name,
+    shape,
+    rank: shape === 'service' ? 0 : s.pick([1, 2, 3] as const),
+    tasks: shape === 'array' ? 1 + Math.floor(s.random() * 14) : 1 + Math.floor(s.random() * 3),
+    cpus: s.pick([1, 1, 2, 4]),
+    mem: s.pick([1, 2, 4]),
+    image: s.pick(['i1', 'i2', 'i3']),
+    types: s.chance(0.15) ? ['big'] : null,
+    zone: s.chance(0.15) ? 'a' : null,
+    together: s.chance(0.15),
+    apart: shape === 'service' && s.chance(0.5),
+    spot: shape !== 'service' && s.chance(0.7),
+    checkpointS,
+    saveS: checkpointS,
+  });
+}
+
+/** Troubles drawn by the seed, single and overlapping; all are over by `until`. */
+function trouble(w: World, until: number): void {
+  const s = w.sim;
+  const mode: Mode = s.pick(['hold', 'reset']);
+  const host = s.pick(w.hosts);
+  const forMs = Math.min(s.between(2000, 45000), Math.max(1000, until - s.now));
+  const cut = (pairs: [string, string][]) => {
+    for (const [a, b] of pairs) w.net.cut(a, b, mode);
+    s.after(forMs, () => {
+      for (const [a, b] of pairs) w.net.heal(a, b);
+      for (const h of w.hosts)
+        for (const o of w.hosts) {
+          const p = w.procs.get(h);
+          if (h !== o && mode === 'reset' && p?.alive) p.ctl.push({ k: 'link', host: o, up: true });
+        }
+    });
+  };
+  const machines = [...w.workers.keys()];
+  const others = w.hosts.filter((h) => h !== host);
+  switch (Math.floor(s.random() * 15)) {
+    case 0:
+      return w.kill(host, s.chance(0.3) ? s.between(50, 400) : 2500);
+    case 1:
+      for (const h of w.hosts) w.kill(h, s.between(100, 4000));
+      return;
+    case 2:
+      w.hosts.forEach((h, i) => s.after(i * 6000, () => w.kill(h, 1500)));
+      return;
+    case 3:
+      return cut([[host, 'state']]);
+    case 4:
+      return cut(machines.map((m) => [host, m] as [string, string]));
+    case 5:
+      return cut(
+        [...others, ...machines, 'state', 'cloud', 'users'].map((x) => [host, x] as [string, string]),
+      );
+    case 6:
+      return cut(others.map((o) => [host, o] as [string, string]));
+    case 7:
+      w.state.setDown(true);
+      return s.after(Math.min(forMs, 25000), () => w.state.setDown(false));
+    case 8:
+      w.state.refused.add(host);
+      return s.after(forMs, () => w.state.allow(host));
+    case 9: {
+      const m = machines.length > 0 ? s.pick(machines) : null;
+      if (!m) return;
+      return cut([...w.hosts, 'state'].map((h) => [h, m] as [string, string]));
+    }
+    case 10: {
+      const x = machines.length > 0 ? w.workers.get(s.pick(machines)) : null;
+      if (!x) return;
+      x.hung = true;
+      return s.after(Math.min(forMs, 15000), () => {
+        x.hung = false;
+      });
+    }
+    case 11:
+      for (const [name, x] of [...w.workers])
+        if (x.spot && s.chance(0.5)) {
+          if (s.chance(0.5)) x.noticeAt = s.now + 4000;
+          s.after(x.noticeAt ? 4000 : s.between(0, 3000), () => w.destroy(name));
+        }
+      return;
+    case 12:
+      w.cloudDown = true;
+      return s.after(forMs, () => {
+        w.cloudDown = false;
+      });
+    case 13:
+      return w.state.loseHistory();
+    case 14: {
+      const inside = [host, ...[...w.workers.values()].filter((x) => x.zone === 'a').map((x) => x.name)];
+      const outside = [
+        ...others,
+        ...[...w.workers.values()].filter((x) => x.zone === 'b').map((x) => x.name),
+        'state',
+        'cloud',
+        'users',
+      ];
+      return cut(inside.flatMap((a) => outside.map((b) => [a, b] as [string, string])));
+    }
+  }
+}
+
+/** One seeded day: jobs, cancellations and troubles, then a quiet end in which all accepted work must finish. */
+export function playDay(seed: number, troubles: number): World {
+  const w = new World(seed);
+  const s = w.sim;
+  const busy = 120000;
+  for (let i = 0; i < 14; i++) {
+    const at = s.chance(0.4) ? s.between(0, 3000) : s.between(0, busy);
+    s.at(at, () => {
+      const j = randomJob(w);
+      if (s.chance(0.06) && j.shape === 'array') w.doomed.add(j.id);
+      w.submit(j);
+      if (s.chance(0.25) || j.shape === 'service' || w.doomed.has(j.id))
+        s.after(s.between(200, 60000), () => cancelWhenAccepted(w, j.id));
+    });
+  }
+  for (let i = 0; i < troubles; i++) s.at(s.between(3000, busy), () => trouble(w, busy + 5000));
+  s.at(1000, () => w.pollUnknown());
+  w.sim.run(busy + 200000);
+  return w;
+}
+
+function cancelWhenAccepted(w: World, id: string): void {
+  if (w.jobs.get(id)?.accepted) w.abort(id);
+  else w.sim.after(1000, () => cancelWhenAccepted(w, id));
+}
--- /dev/null
+++ b/test/standin/state.ts
@@ -0,0 +1,184 @@
+import type { Item, StateEvent, Txn } from '../../src/core/types.js';
+import type { Sim } from './sim.js';
+
+type Reply<T> = { status: number; value?: T; failed?: string[] };
+
+interface Key {
+  value: string;
+  version: number;
+  lease: number;
+}
+
+/** Stand-in for the state service, from its protocol. */
+export class StateStandin {
+  readonly keys = new Map<string, Key>();
+  rev = 1;
+  down = false;
+  /** Hosts refused with 503 although the others are served. */
+  readonly refused = new Set<string>();
+  private readonly leases = new Map<number, { ttl: number; end: number; keys: Set<string> }>();
+  private nextLease = 1;
+  private log: (StateEvent & { value: unknown })[] = [];
+  private waiting: {
+    prefix: string;
+    since: number;
+    host: string;
+    reply: (r: Reply<{ rev: number; events: StateEvent[] }>) => void;
+  }[] = [];
+  historyFrom = 0;
+  writes = 0;
+
+  constructor(private readonly sim: Sim) {
+    const sweep = () => {
+      if (!this.down) for (const [id, l] of this.leases) if (l.end < this.sim.now) this.endLease(id);
+      sim.after(50, sweep);
+    };
+    sweep();
+  }
+
+  private closed(host: string): boolean {
+    return this.down || this.refused.has(host);
+  }
+
+  setDown(down: boolean): void {
+    if (this.down && !down) for (const l of this.leases.values()) l.end = this.sim.now + l.ttl;
+    this.down = down;
+    if (!down) this.wakeWatches();
+  }
+  allow(host: string): void {
+    this.refused.delete(host);
+    this.wakeWatches();
+  }
+  loseHistory(): void {
+    this.historyFrom = this.rev;
+    this.log = [];
+  }
+
+  get(host: string, key: string): Reply<Item | null> {
+    if (this.closed(host)) return { status: 503 };
+    const k = this.keys.get(key);
+    return {
+      status: 200,
+      value: k ? { key, value: JSON.parse(k.value), version: k.version, lease: k.lease } : null,
+    };
+  }
+
+  list(
+    host: string,
+    prefix: string,
+    since: string,
+    page: number,
+  ): Reply<{ items: Item[]; more: boolean; rev: number }> {
+    if (this.closed(host)) return { status: 503 };
+    const names = [...this.keys.keys()].filter((k) => k.startsWith(prefix) && k > since).sort();
+    const items = names.slice(0, page).map((key) => {
+      const k = this.keys.get(key)!;
+      return { key, value: JSON.parse(k.value), version: k.version };
+    });
+    return { status: 200, value: { items, more: names.length > page, rev: this.rev } };
+  }
+
+  txn(host: string, t: Txn, limits: { ops: number; valueKb: number }): Reply<number> {
+    if (this.closed(host)) return { status: 503 };
+    if (t.then.length > limits.ops || t.when.length > limits.ops * 4)
+      throw new Error('transaction over its limits');
+    const failed = t.when.filter((w) => (this.keys.get(w.key)?.version ?? 0) !== w.version).map((w) => w.key);
+    if (failed.length > 0) return { status: 409, failed };
+    for (const op of t.then) {
+      if ('put' in op && op.lease !== undefined && !this.leases.has(op.lease)) return { status: 400 };
+      if ('put' in op && JSON.stringify(op.value).length > limits.valueKb * 1024)
+        throw new Error(`value too large: ${op.put}`);
+    }
+    if (t.then.length === 0) return { status: 200, value: this.rev };
+    this.rev++;
+    this.writes += t.then.length;
+    for (const op of t.then) {
+      if ('del' in op) this.drop(op.del);
+      else {
+        const old = this.keys.get(op.put);
+        if (old?.lease) this.leases.get(old.lease)?.keys.delete(op.put);
+        this.keys.set(op.put, { value: JSON.stringify(op.value), version: this.rev, lease: op.lease ?? 0 });
+        if (op.lease !== undefined) this.leases.get(op.lease)!.keys.add(op.put);
+        this.log.push({ key: op.put, version: this.rev, value: op.value, gone: false });
+      }
+    }
+    this.wakeWatches();
+    return { status: 200, value: this.rev };
+  }
+
+  private drop(key: string): void {
+    const k = this.keys.get(key);
+    if (!k) return;
+    if (k.lease) this.leases.get(k.lease)?.keys.delete(key);
+    this.keys.delete(key);
+    this.log.push({ key, version: this.rev, value: undefined, gone: true });
+  }
+
+  grant(host: string, ttl: number): Reply<number> {
+    if (this.closed(host)) return { status: 503 };
+    const id = this.nextLease++;
+    this.leases.set(id, { ttl, end: this.sim.now + ttl, keys: new Set() });
+    return { status: 200, value: id };
+  }
+  touch(host: string, id: number): Reply<null> {
+    if (this.closed(host)) return { status: 503 };
+    const l = this.leases.get(id);
+    if (!l) return { status: 404 };
+    l.end = this.sim.now + l.ttl;
+    return { status: 200, value: null };
+  }
+  end(host: string, id: number): Reply<null> {
+    if (this.closed(host)) return { status: 503 };
+    if (!this.leases.has(id)) return { status: 404 };
+    this.endLease(id);
+    return { status: 200, value: null };
+  }
+  private endLease(id: number): void {
+    const l = this.leases.get(id);
+    this.leases.delete(id);
+    if (!l || l.keys.size === 0) return;
+    this.rev++;
+    for (const k of [...l.keys]) this.drop(k);
+    this.wakeWatches();
+  }
+
+  watch(
+    host: string,
+    prefix: string,
+    since: number,
+    waitMs: number,
+    reply: (r: Reply<{ rev: number; events: StateEvent[] }>) => void,
+  ): void {
+    if (this.closed(host)) return reply({ status: 503 });
+    if (since < this.historyFrom) return reply({ status: 410 });
+    const w = { prefix, since, host, reply };
+    this.waiting.push(w);
+    this.wakeWatches();
+    const end = () => {
+      const i = this.waiting.indexOf(w);
+      if (i < 0) return;
+      if (this.closed(host)) return this.sim.after(500, end);
+      this.waiting.splice(i, 1);
+      reply({ status: 200, value: { rev: this.rev, events: [] } });
+    };
+    this.sim.after(waitMs, end);
+  }
+
+  private wakeWatches(): void {
+    for (const w of [...this.waiting]) {
+      if (this.closed(w.host)) continue;
+      const events = this.log.filter((e) => e.version > w.since && e.key.startsWith(w.prefix));
+      if (events.length === 0) continue;
+      this.waiting.splice(this.waiting.indexOf(w), 1);
+      const copy = events.map((e) => ({
+        ...e,
+        value: e.value === undefined ? undefined : JSON.parse(JSON.stringify(e.value)),
+      }));
+      w.reply({ status: 200, value: { rev: this.rev, events: copy } });
+    }
+    if (this.log.length > 20000) {
+      this.log = this.log.slice(-10000);
+      this.historyFrom = this.log[0]!.version;
+    }
+  }
+}
--- /dev/null
+++ b/test/standin/worker.ts
@@ -0,0 +1,287 @@
+import type { ReportAnswer } from '../../src/core/controller.js';
+import type { ExitWhy, JobSpec, TaskPhase, WorkerCommand, WorkerReport } from '../../src/core/types.js';
+import type { Net, Sim } from './sim.js';
+
+export interface Task {
+  job: string;
+  idx: number;
+  attempt: number;
+  phase: TaskPhase;
+  why: ExitWhy | null;
+  saved: boolean;
+  gen: number;
+}
+
+export interface WorkerWorld {
+  sim: Sim;
+  net: Net;
+  spec(job: string): JobSpec | undefined;
+  runMs(job: string, idx: number): number;
+  fails(job: string, machine: string): boolean;
+  controllers(): string[];
+  report(host: string, r: WorkerReport, reply: (a: ReportAnswer) => void): void;
+  gangMates(job: string, attempt: number): Task[];
+  isDone(job: string, idx: number): boolean;
+  setDone(job: string, idx: number): void;
+}
+
+export interface Size {
+  cpus: number;
+  mem: number;
+  fetchGbPerS: number;
+}
+
+/** Stand-in for a worker, from its protocol. */
+export class WorkerStandin {
+  tasks: Task[] = [];
+  season = 1;
+  tally = 0;
+  token = 0;
+  alive = true;
+  /** A hanging machine does nothing, but may resume. */
+  hung = false;
+  noticeAt: number | null = null;
+  private lastAnswered: number;
+  private target: string;
+  private busy = false;
+  private nextAt = 0;
+  private changed = false;
+  private gen = 0;
+  private readonly images = new Set<string>();
+
+  constructor(
+    readonly name: string,
+    readonly type: string,
+    readonly zone: string,
+    readonly spot: boolean,
+    readonly size: Size,
+    private readonly w: WorkerWorld,
+    private readonly t: { reportMs: number; leaseMs: number },
+  ) {
+    this.lastAnswered = w.sim.now;
+    this.target = w.sim.pick(w.controllers());
+    this.loop();
+  }
+
+  /** On the machine, as the rules count it: has its image, not ended. */
+  onMachine(t: Task): boolean {
+    return this.alive && t.phase !== 'fetching' && t.phase !== 'exited';
+  }
+
+  private body(): WorkerReport {
+    return {
+      machine: this.name,
+      addr: this.name,
+      type: this.type,
+      zone: this.zone,
+      spot: this.spot,
+      season: this.season,
+      tally: ++this.tally,
+      token: this.token,
+      noticeS: this.noticeAt === null ? null : Math.max(0, (this.noticeAt - this.w.sim.now) / 1000),
+      tasks: this.tasks.map((t) => ({
+        job: t.job,
+        idx: t.idx,
+        attempt: t.attempt,
+        phase: t.phase,
+        why: t.why,
+        saved: t.saved,
+      })),
+    };
+  }
+
+  private loop(): void {
+    if (!this.alive) return;
+    const sim = this.w.sim;
+    if (!this.hung) {
+      if (sim.now - this.lastAnswered > this.t.leaseMs) {
+        this.tasks = [];
+        this.season++;
+        this.gen++;
+        this.lastAnswered = sim.now;
+        this.changed = true;
+      }
+      if (
+        !this.busy &&
+        (sim.now >= this.nextAt || (this.changed && sim.now >= this.nextAt - this.t.reportMs * 1.25 + 500))
+      )
+        this.report();
+    }
+    sim.after(50, () => this.loop());
+  }
+
+  private report(): void {
+    const sim = this.w.sim;
+    const sent = sim.now;
+    const season = this.season;
+    const body = this.body();
+    this.busy = true;
+    this.changed = false;
+    this.nextAt = sim.now + this.t.reportMs * sim.between(0.75, 1.25);
+    const host = this.target;
+    this.w.net.call<ReportAnswer>(
+      this.name,
+      host,
+      4000,
+      (reply) => this.w.report(host, body, reply),
+      (a) => {
+        const handle = () => {
+          if (this.hung) return sim.after(100, handle);
+          this.busy = false;
+          if (!this.alive) return;
+          // Answers are dropped after 4 s, also by a machine that hung meanwhile.
+          if (!a.got || a.value.s === 'later' || sim.now - sent > 4000) return this.next(1000);
+          if (a.value.s === 'other') {
+            if (a.value.keeper && a.value.keeper !== host && this.w.controllers().includes(a.value.keeper)) {
+              this.target = a.value.keeper;
+              this.nextAt = sim.now + sim.between(0, 500);
+            } else this.next(1000);
+            return;
+          }
+          if (season !== this.season || a.value.token < this.token) return;
+          this.see(a.value.token);
+          this.lastAnswered = sent;
+          this.execute(a.value.cmds);
+        };
+        handle();
+      },
+    );
+  }
+
+  private next(ms: number): void {
+    const all = this.w.controllers();
+    this.target = all[(all.indexOf(this.target) + 1) % all.length] as string;
+    this.nextAt = this.w.sim.now + ms;
+  }
+
+  private see(token: number): void {
+    if (token > this.token) this.changed = true;
+    this.token = Math.max(this.token, token);
+  }
+
+  direct(
+    token: number,
+    season: number,
+    cmds: WorkerCommand[],
+    reply: (r: { ok: boolean; report: WorkerReport }) => void,
+  ): void {
+    if (!this.alive) return;
+    if (this.hung) return this.w.sim.after(200, () => this.direct(token, season, cmds, reply));
+    if (token < this.token || season !== this.season) return reply({ ok: false, report: this.body() });
+    this.see(token);
+    this.execute(cmds);
+    reply({ ok: true, report: this.body() });
+  }
+
+  private execute(cmds: WorkerCommand[]): void {
+    for (const c of cmds) {
+      const t = this.tasks.find((x) => x.job === c.job && x.idx === c.idx && x.attempt === c.attempt);
+      if (c.op === 'start') {
+        if (!t) this.start(c.job, c.idx, c.attempt);
+      } else if (c.op === 'stop') {
+        if (t && t.phase !== 'exited') this.stop(t, c.graceS);
+      } else if (t?.phase === 'exited') this.tasks = this.tasks.filter((x) => x !== t);
+    }
+    this.changed ||= cmds.length > 0;
+  }
+
+  private start(job: string, idx: number, attempt: number): void {
+    const s = this.w.spec(job);
+    const t: Task = { job, idx, attempt, phase: 'fetching', why: null, saved: false, gen: this.gen };
+    const live = this.tasks.filter((x) => x.phase !== 'exited');
+    if (!s) Object.assign(t, { phase: 'exited', why: 'unknown' });
+    else if (this.tasks.some((x) => x.job === job && x.idx === idx))
+      Object.assign(t, { phase: 'exited', why: 'busy' });
+    else {
+      let cpus = s.cpus;
+      let mem = s.mem;
+      for (const x of live) {
+        cpus += this.w.spec(x.job)?.cpus ?? 0;
+        mem += this.w.spec(x.job)?.mem ?? 0;
+      }
+      if (cpus > this.size.cpus + 1e-9 || mem > this.size.mem + 1e-9)
+        Object.assign(t, { phase: 'exited', why: 'no_room' });
+    }
+    this.tasks.push(t);
+    this.changed = true;
+    if (t.phase === 'exited' || !s) return;
+    const fetch = this.images.has(s.image) ? 1 : (s.imageGb / this.size.fetchGbPerS) * 1000;
+    this.later(t, fetch, () => {
+      this.images.add(s.image);
+      if (s.shape === 'gang') {
+        t.phase = 'waiting';
+        this.gang(t, s);
+      } else this.begin(t);
+      this.changed = true;
+    });
+  }
+
+  private later(t: Task, ms: number, fn: () => void): void {
+    const go = () => {
+      if (!this.alive || t.gen !== this.gen || !this.tasks.includes(t) || t.phase === 'exited') return;
+      if (this.hung) return this.w.sim.after(100, go);
+      fn();
+    };
+    this.w.sim.after(ms, go);
+  }
+
+  private begin(t: Task): void {
+    t.phase = 'running';
+    this.changed = true;
+    if (this.w.fails(t.job, this.name)) return this.later(t, 300, () => this.exit(t, 'error'));
+    const ms = this.w.isDone(t.job, t.idx) ? 1 : this.w.runMs(t.job, t.idx);
+    if (Number.isFinite(ms))
+      this.later(t, ms, () => {
+        if (t.phase !== 'running') return;
+        this.w.setDone(t.job, t.idx);
+        this.exit(t, 'done');
+      });
+  }
+
+  private gang(t: Task, s: JobSpec): void {
+    const check = () => {
+      if (t.phase !== 'waiting') return;
+      const mates = this.w.gangMates(t.job, t.attempt);
+      if (mates.length === s.tasks && mates.every((m) => m.phase === 'waiting' || m.phase === 'running'))
+        return this.begin(t);
+      this.later(t, 200, check);
+    };
+    this.later(t, 1, check);
+    this.later(t, 15000, () => t.phase === 'waiting' && this.exit(t, 'alone'));
+    const mates = () => {
+      if (t.phase !== 'running') {
+        this.later(t, 500, mates);
+        return;
+      }
+      const all = this.w.gangMates(t.job, t.attempt);
+      const ended = all.filter((m) => m.why === 'done').length;
+      if (ended === 0 && all.filter((m) => m.phase !== 'exited').length < s.tasks)
+        return this.exit(t, 'peers');
+      this.later(t, 500, mates);
+    };
+    this.later(t, 500, mates);
+  }
+
+  private stop(t: Task, graceS: number): void {
+    const s = this.w.spec(t.job);
+    if (t.phase === 'running' && s && s.checkpointS > 0 && graceS >= s.saveS && graceS > 0) {
+      t.phase = 'saving';
+      this.later(t, s.saveS * 1000, () => {
+        t.saved = true;
+        this.exit(t, 'stopped');
+      });
+    } else this.exit(t, 'stopped');
+    this.changed = true;
+  }
+
+  private exit(t: Task, why: ExitWhy): void {
+    t.phase = 'exited';
+    t.why = why;
+    this.changed = true;
+  }
+
+  die(): void {
+    this.alive = false;
+    this.tasks = [];
+  }
+}
--- /dev/null
+++ b/test/standin/world.ts
@@ -0,0 +1,481 @@
+import { readFileSync } from 'node:fs';
+import { Controller, type MeshMsg, type ReportAnswer } from '../../src/core/controller.js';
+import type { DoorAnswer, JobState } from '../../src/core/door.js';
+import type {
+  Clock,
+  CloudPort,
+  Failure,
+  JobSpec,
+  ListedMachine,
+  MachineType,
+  Result,
+  StatePort,
+  Team,
+  Then,
+  WorkerPort,
+  WorkerReport,
+} from '../../src/core/types.js';
+import { checkPolicy } from '../../src/settings/policy.js';
+import { type Answer, Net, Sim } from './sim.js';
+import { StateStandin } from './state.js';
+import { WorkerStandin } from './worker.js';
+
+const POLICY = checkPolicy(readFileSync(new URL('../../deploy/policy.toml', import.meta.url), 'utf8'));
+export const LEASE_S = 20;
+export const CANCEL_S = 40;
+const REPORT_S = 2;
+const LIMITS = { ops: 16, valueKb: 4 };
+
+export const TYPES: MachineType[] = [
+  {
+    name: 'small',
+    cpus: 4,
+    gpus: 0,
+    mem: 8,
+    cacheGb: 20,
+    fetchGbPerS: 1,
+    price: 0.2,
+    spotPrice: 0.08,
+    bootS: 8,
+    zones: ['a', 'b'],
+  },
+  {
+    name: 'big',
+    cpus: 16,
+    gpus: 0,
+    mem: 64,
+    cacheGb: 20,
+    fetchGbPerS: 1,
+    price: 0.9,
+    spotPrice: 0.36,
+    bootS: 5,
+    zones: ['a'],
+  },
+];
+export const TEAMS: Team[] = [
+  { name: 'red', cpus: 12, cpusMax: 40, gpus: 0, gpusMax: 0 },
+  { name: 'blue', cpus: 8, cpusMax: 24, gpus: 0, gpusMax: 0 },
+  { name: 'free', cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 },
+];
+
+interface UserJob {
+  spec: JobSpec;
+  accepted: boolean;
+  askedCancel: boolean;
+  cancelledAt: number | null;
+  told: JobState | null;
+  goneEarly: boolean;
+}
+
+interface Proc {
+  ctl: Controller;
+  alive: boolean;
+}
+
+const noop = () => {};
+
+/** A deployment in simulated time: controllers as written, everything else a stand-in; the rules are checked on what the stand-ins saw. */
+export class World {
+  readonly sim: Sim;
+  readonly net: Net;
+  readonly state: StateStandin;
+  readonly hosts = ['c0', 'c1', 'c2'];
+  readonly procs = new Map<string, Proc>();
+  readonly workers = new Map<string, WorkerStandin>();
+  readonly jobs = new Map<string, UserJob>();
+  readonly done = new Set<string>();
+  readonly broken: string[] = [];
+  readonly faulty = new Set<string>();
+  /** Jobs that fail on every machine. */
+  readonly doomed = new Set<string>();
+  cloudDown = false;
+  capacity = 12;
+  starts = 0;
+  private machines = 0;
+  private instances = 0;
+  private readonly claims = new Map<string, string[]>();
+  private listed: { at: number; list: ListedMachine[] }[] = [];
+  private readonly booted = new Map<string, { l: ListedMachine; at: number }>();
+  private readonly on = new Map<string, string>();
+
+  constructor(seed: number) {
+    this.sim = new Sim(seed);
+    this.net = new Net(this.sim);
+    this.state = new StateStandin(this.sim);
+    this.sim.afterStep = () => this.check();
+    for (const h of this.hosts) this.boot(h);
+    const snap = () => {
+      this.listed.push({
+        at: this.sim.now,
+        list: [...this.booted.values()].map((b) => ({ ...b.l, ageS: (this.sim.now - b.at) / 1000 })),
+      });
+      if (this.listed.length > 30) this.listed.shift();
+      this.sim.after(1000, snap);
+    };
+    snap();
+  }
+
+  // ---- controllers ------------------------------------------------------------------------------------
+
+  boot(host: string): void {
+    const p: Proc = { ctl: undefined as unknown as Controller, alive: true };
+    const inst = `${host}.${++this.instances}`;
+    const clock: Clock = {
+      now: () => this.sim.now,
+      wall: () => this.sim.now,
+      after: (ms, fn) => {
+        this.sim.after(ms, () => p.alive && fn());
+        return noop;
+      },
+      soon: (fn) => this.sim.after(0.2, () => p.alive && fn()),
+      random: () => this.sim.random(),
+    };
+    p.ctl = new Controller({
+      host,
+      inst,
+      peers: this.hosts.filter((h) => h !== host),
+      teams: TEAMS,
+      workers: { reportS: REPORT_S, leaseS: LEASE_S, cancelS: CANCEL_S },
+      state: { valueKb: LIMITS.valueKb, txnOps: LIMITS.ops },
+      listLagS: 3,
+      ttlMs: 2500,
+      policy: POLICY,
+      clock,
+      log: { debug: noop, info: noop, error: noop },
+      statePort: this.statePort(host, p),
+      cloud: this.cloudPort(host, p),
+      worker: this.workerPort(host, p),
+      mesh: {
+        send: (to, m: MeshMsg) => {
+          const text = JSON.stringify(m);
+          this.net.send(host, to, () => {
+            const q = this.procs.get(to);
+            if (q?.alive) q.ctl.push({ k: 'mesh', m: JSON.parse(text) });
+          });
+        },
+      },
+    });
+    this.procs.set(host, p);
+    p.ctl.start();
+    for (const other of this.hosts) {
+      const q = this.procs.get(other);
+      if (other === host || !q?.alive) continue;
+      q.ctl.push({ k: 'link', host, up: true });
+      p.ctl.push({ k: 'link', host: other, up: true });
+    }
+  }
+
+  kill(host: string, backMs: number): void {
+    const p = this.procs.get(host);
+    if (!p?.alive) return;
+    p.alive = false;
+    this.sim.after(backMs, () => this.boot(host));
+  }
+
+  private statePort(host: string, p: Proc): StatePort {
+    const s = this.state;
+    type R<T> = { status: number; value?: T; failed?: string[] };
+    const ask = <T>(serve: (reply: (r: R<T>) => void) => void, cb: Then<T>, deadline = 1500) =>
+      this.net.call<R<T>>(host, 'state', deadline, serve, (a) => p.alive && cb(result(a)));
+    return {
+      get: (k, _u, cb) => ask((r) => r(s.get(host, k)), cb),
+      list: (pre, since, _u, cb) => ask((r) => r(s.list(host, pre, since, 50)), cb),
+      txn: (t, _u, cb) => {
+        const copy = JSON.parse(JSON.stringify(t));
+        ask((r) => r(s.txn(host, copy, LIMITS)), cb);
+      },
+      grant: (ttl, cb) => ask((r) => r(s.grant(host, ttl)), cb),
+      touch: (l, cb) => ask((r) => r(s.touch(host, l)), cb),
+      end: (l, cb) => ask((r) => r(s.end(host, l)), cb),
+      watch: (pre, since, wait, cb) => ask((r) => s.watch(host, pre, since, wait, r), cb, wait + 3000),
+    };
+  }
+
+  private workerPort(host: string, p: Proc): WorkerPort {
+    return {
+      commands: (addr, token, season, cmds, cb) => {
+        const copy = JSON.parse(JSON.stringify(cmds));
+        this.net.call<{ ok: boolean; report: WorkerReport }>(
+          host,
+          addr,
+          1500,
+          (reply) => this.workers.get(addr)?.direct(token, season, copy, reply),
+          (a) => {
+            if (!p.alive) return;
+            if (!a.got) cb({ ok: false, kind: a.sent ? 'unknown' : 'refused' });
+            else
+              cb(
+                a.value.ok
+                  ? { ok: true, value: a.value.report }
+                  : { ok: false, kind: 'conflict', report: a.value.report },
+              );
+          },
+        );
+      },
+    };
+  }
+
+  // ---- cloud ------------------------------------------------------------------------------------------
+
+  private cloudPort(host: string, p: Proc): CloudPort {
+    const ask = <T>(serve: () => Result<T>, cb: Then<T>) =>
+      this.net.call<Result<T>>(
+        host,
+        'cloud',
+        3000,
+        (reply) => reply(this.cloudDown ? { ok: false, kind: 'refused' } : serve()),
+        (a) => p.alive && cb(a.got ? a.value : { ok: false, kind: a.sent ? 'unknown' : 'refused' }),
+      );
+    return {
+      types: (cb) => ask(() => ({ ok: true, value: TYPES }), cb),
+      rent: (claim, type, zone, spot, n, cb) =>
+        ask(() => {
+          const old = this.claims.get(claim);
+          if (old) return { ok: true, value: old };
+          const names: string[] = [];
+          while (names.length < n && this.booted.size < this.capacity)
+            names.push(this.rent(type, zone, spot));
+          if (names.length === 0) return { ok: false, kind: 'gone' };
+          this.claims.set(claim, names);
+          return { ok: true, value: names };
+        }, cb),
+      remove: (names, cb) =>
+        ask(() => {
+          for (const n of names) this.destroy(n);
+          return { ok: true, value: null };
+        }, cb),
+      list: (since, cb) =>
+        ask(() => {
+          const old = this.listed.filter((l) => l.at <= this.sim.now - 3000).at(-1)?.list ?? [];
+          return { ok: true, value: { machines: old.filter((m) => m.name > since), more: false } };
+        }, cb),
+    };
+  }
+
+  private rent(type: string, zone: string, spot: boolean): string {
+    const name = `vm-${String(++this.machines).padStart(6, '0')}`;
+    const l: ListedMachine = { name, addr: name, type, zone, spot, phase: 'booting', ageS: 0 };
+    this.booted.set(name, { l, at: this.sim.now });
+    if (this.sim.chance(0.1)) return name;
+    const t = TYPES.find((x) => x.name === type)!;
+    if (this.sim.chance(0.05)) this.faulty.add(name);
+    this.sim.after(this.sim.between(0.3, 1.5) * t.bootS * 1000, () => {
+      if (!this.booted.has(name)) return;
+      l.phase = 'running';
+      this.workers.set(
+        name,
+        new WorkerStandin(name, type, zone, spot, t, this.workerWorld(), {
+          reportMs: REPORT_S * 1000,
+          leaseMs: LEASE_S * 1000,
+        }),
+      );
+    });
+    return name;
+  }
+
+  /** Deleted, or taken by the cloud. */
+  destroy(name: string): void {
+    this.booted.delete(name);
+    this.workers.get(name)?.die();
+    this.workers.delete(name);
+  }
+
+  // ---- workers ----------------------------------------------------------------------------------------
+
+  private workerWorld() {
+    return {
+      sim: this.sim,
+      net: this.net,
+      spec: (job: string) => this.jobs.get(job)?.spec,
+      runMs: (job: string, idx: number) => {
+        const s = this.jobs.get(job)?.spec;
+        if (!s || s.shape === 'service') return Number.POSITIVE_INFINITY;
+        return s.shape === 'gang' ? 6000 : 2000 + ((idx * 7919 + job.length * 104729) % 9000);
+      },
+      fails: (job: string, machine: string) => this.doomed.has(job) || this.faulty.has(machine),
+      controllers: () => this.hosts,
+      report: (host: string, r: WorkerReport, reply: (a: ReportAnswer) => void) => {
+        const p = this.procs.get(host);
+        if (p?.alive) reply(JSON.parse(JSON.stringify(p.ctl.report(JSON.parse(JSON.stringify(r))))));
+      },
+      gangMates: (job: string, attempt: number) =>
+        [...this.workers.values()]
+          .filter((x) => x.alive && !x.hung)
+          .flatMap((x) => x.tasks.filter((t) => t.job === job && t.attempt === attempt)),
+      isDone: (job: string, idx: number) => this.done.has(`${job}/${idx}`),
+      setDone: (job: string, idx: number) => void this.done.add(`${job}/${idx}`),
+    };
+  }
+
+  // ---- users ------------------------------------------------------------------------------------------
+
+  private anyHost(): string {
+    return this.sim.pick(this.hosts);
+  }
+
+  private ask(
+    run: (ctl: Controller, reply: (a: DoorAnswer) => void) => void,
+    cb: (a: DoorAnswer | null) => void,
+  ): void {
+    const host = this.anyHost();
+    const p = this.procs.get(host);
+    if (!p?.alive) return this.sim.after(5, () => cb(null));
+    this.net.call<DoorAnswer>(
+      'users',
+      host,
+      5000,
+      (reply) => p.alive && run(p.ctl, (a) => p.alive && reply(a)),
+      (a) => cb(a.got ? a.value : null),
+    );
+  }
+
+  submit(spec: JobSpec): void {
+    const j: UserJob = {
+      spec,
+      accepted: false,
+      askedCancel: false,
+      cancelledAt: null,
+      told: null,
+      goneEarly: false,
+    };
+    this.jobs.set(spec.id, j);
+    const go = (left: number) =>
+      this.ask(
+        (c, r) => c.door.submit(spec, r),
+        (a) => {
+          if (a?.s === 'job') this.tell(j, a.state, a.done);
+          else if (a && (a.s === 'never' || a.s === 'unknown') && j.accepted)
+            this.fault(`forgotten: ${spec.id} answered ${a.s}`);
+          else if (left > 0) this.sim.after(1000, () => go(left - 1));
+          // A late repeat, also long after.
+          if (a?.s === 'job' && this.sim.chance(0.2))
+            this.sim.after(this.sim.between(1000, 60000), () => go(0));
+        },
+      );
+    go(60);
+    const poll = () => {
+      this.poll(j);
+      this.sim.after(this.sim.between(3000, 7000), poll);
+    };
+    this.sim.after(2000, poll);
+  }
+
+  private poll(j: UserJob): void {
+    const accepted = j.accepted;
+    this.ask(
+      (c, r) => c.door.poll(j.spec.id, r),
+      (a) => {
+        if (a?.s === 'job') this.tell(j, a.state, a.done);
+        else if (a?.s === 'unknown' && accepted) this.fault(`forgotten: ${j.spec.id}`);
+      },
+    );
+  }
+
+  pollUnknown(): void {
+    this.ask(
+      (c, r) => c.door.poll('wk-nobody', r),
+      (a) => a?.s === 'job' && this.fault('invented'),
+    );
+  }
+
+  abort(id: string): void {
+    const j = this.jobs.get(id);
+    if (!j || !j.accepted || j.askedCancel) return;
+    j.askedCancel = true;
+    const go = (left: number) =>
+      this.ask(
+        (c, r) => c.door.abort(id, r),
+        (a) => {
+          if (a?.s === 'job') this.tell(j, a.state, a.done);
+          else if (left > 0) this.sim.after(1000, () => go(left - 1));
+        },
+      );
+    go(60);
+  }
+
+  private tell(j: UserJob, state: JobState, done: number): void {
+    const id = j.spec.id;
+    j.accepted = true;
+    if (state === 'cancelled') {
+      if (!j.askedCancel) this.fault(`went_back: ${id} cancelled by nobody`);
+      j.cancelledAt ??= this.sim.now;
+    }
+    if (state === 'done')
+      for (let i = 0; i < j.spec.tasks; i++)
+        if (!this.done.has(`${id}/${i}`)) this.fault(`not_done: ${id}/${i}`);
+    if ((j.told === 'done' || j.told === 'cancelled') && state !== j.told)
+      this.fault(`went_back: ${id} ${j.told} to ${state}`);
+    if (done > j.spec.tasks) this.fault(`too many done: ${id}`);
+    if (j.told !== 'done' && j.told !== 'cancelled') j.told = state;
+  }
+
+  // ---- rules ------------------------------------------------------------------------------------------
+
+  private fault(text: string): void {
+    this.broken.push(`${(this.sim.now / 1000).toFixed(3)} ${text}`);
+  }
+
+  /** After each step, on what is on the machines: every rule of the protocol about tasks. */
+  private check(): void {
+    const at = new Map<string, string>();
+    const use = new Map<string, number>();
+    for (const w of this.workers.values()) {
+      if (!w.alive) continue;
+      for (const t of w.tasks) {
+        if (!w.onMachine(t)) continue;
+        const key = `${t.job}/${t.idx}`;
+        const j = this.jobs.get(t.job);
+        if (!j) continue;
+        const s = j.spec;
+        const place = `${w.name}#${t.attempt}#${t.gen}`;
+        if (at.has(key)) this.fault(`ran_twice: ${key} on ${at.get(key)} and ${place}`);
+        at.set(key, place);
+        use.set(s.team, (use.get(s.team) ?? 0) + s.cpus);
+        if (j.cancelledAt !== null && this.sim.now - j.cancelledAt > CANCEL_S * 1000)
+          this.fault(`ran_cancelled: ${key} on ${place}`);
+        if (this.on.get(key) === place) continue;
+        this.starts++;
+        if (w.spot && !s.spot) this.fault(`wrong_place: ${key} on a spot machine`);
+        if (s.types && !s.types.includes(w.type)) this.fault(`wrong_place: ${key} on ${w.type}`);
+        if (s.zone !== null && s.zone !== w.zone) this.fault(`wrong_place: ${key} in ${w.zone}`);
+        if (s.together || s.apart) {
+          let here = 0;
+          let other = 0;
+          for (const x of this.workers.values())
+            for (const y of x.tasks)
+              if (y.job === t.job && x.onMachine(y)) x.zone === w.zone ? here++ : other++;
+          if (s.together && other > 0) this.fault(`wrong_place: ${t.job} in two zones`);
+          if (s.apart && here > Math.ceil(s.tasks / 2)) this.fault(`wrong_place: ${t.job} not spread`);
+        }
+      }
+    }
+    for (const t of TEAMS)
+      if (t.cpusMax > 0 && (use.get(t.name) ?? 0) > t.cpusMax + 1e-9)
+        this.fault(`quota: ${t.name} uses ${use.get(t.name)}`);
+    this.on.clear();
+    for (const [k, v] of at) this.on.set(k, v);
+  }
+
+  /** Accepted work that should be over by now. */
+  unfinished(): string[] {
+    return [...this.jobs.values()]
+      .filter(
+        (j) =>
+          j.spec.shape !== 'service' &&
+          !this.doomed.has(j.spec.id) &&
+          j.told !== 'done' &&
+          j.told !== 'cancelled',
+      )
+      .map((j) => j.spec.id);
+  }
+}
+
+function result<T>(a: Answer<{ status: number; value?: T; failed?: string[] }>): Result<T> {
+  if (!a.got) return { ok: false, kind: a.sent ? 'unknown' : 'refused' } satisfies Failure;
+  const r = a.value;
+  if (r.status === 200) return { ok: true, value: JSON.parse(JSON.stringify(r.value ?? null)) as T };
+  if (r.status === 409) return { ok: false, kind: 'conflict', failed: r.failed ?? [] };
+  if (r.status === 404 || r.status === 410) return { ok: false, kind: 'gone' };
+  if (r.status === 503) return { ok: false, kind: 'refused' };
+  return { ok: false, kind: 'bad' };
+}
