Ask again what an owner holds when its record changes; keep room freed by stops for the job it was freed for

Cause: an owner that learnt of its team before the keeper did told all it holds too early and was never asked again (the keeper then rents nothing); tasks stopped to make room were started again in that room at once.

--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -80,6 +80,7 @@
   private passTimer = false;
   private nextScale = 0;
   private nextList = 0;
+  private nextAsk = 0;
   private listed = false;
   private listing = false;
   private removeBusy = false;
@@ -102,6 +103,8 @@
       if (cur && cur.inst === r.inst && cur.gen === r.gen) continue;
       this.owners.set(team, { inst: r.inst, gen: r.gen, synced: false });
       this.dropHolds((e) => e.team === team);
+      // Its owner may have learnt of the record, and told all it holds, before this keeper did.
+      this.o.send(r.inst, { k: 'resync', token: this.token });
     }
   }
 
@@ -658,6 +661,7 @@
       if (now - m.heardAt > silent * 1.6 || m.probeFails > 0) continue;
       const r = emptyRoom(t, m.zone, m.spot, m.name);
       r.images = m.images;
+      if (m.reserved && m.reserved.until > now) r.reserved = m.reserved;
       r.penalty = (now - m.heardAt > silent ? 10 : 0) + (m.errors.size > 0 ? 20 : 0);
       for (const e of m.entries.values()) {
         if (!takesRoom(e)) continue;
@@ -731,9 +735,11 @@
     const list = [...rooms.values()];
     const scarce = this.scarceZone();
     const grants = new Map<string, Grant[]>();
+    const wanted = new Set<string>();
     const promised = this.freeing(now);
     for (const { want, inst } of refs) {
       let count = want.count - (this.holds.get(want.job) ?? 0);
+      wanted.add(want.job);
       if (count <= 0 || (want.whole && count < want.count)) continue;
       const ready = this.o.entitled();
       if (ready)
@@ -756,6 +762,7 @@
       left.push({ want, count });
     }
     for (const [inst, g] of grants) this.o.send(inst, { k: 'grants', token: this.token, grants: g });
+    for (const m of this.machines.values()) if (m.reserved && !wanted.has(m.reserved.job)) m.reserved = null;
     return left;
   }
 
@@ -881,6 +888,8 @@
         }
       }
       if (!pick) break;
+      // What is freed is for this want; lower work would only have to be stopped again.
+      pick.m.reserved = { job: w.job, rank: w.rank, until: now + 5000 };
       for (const e of pick.victims) {
         e.evicting = now;
         const u = usage.get(e.team);
@@ -1078,6 +1087,15 @@
     }
   }
 
+  /** Messages may be lost with a connection: who has not told all it holds is asked again. */
+  private askUnsynced(now: number): void {
+    if (now < this.nextAsk) return;
+    this.nextAsk = now + 1500;
+    const asked = new Set<string>();
+    for (const r of this.owners.values()) if (!r.synced) asked.add(r.inst);
+    for (const inst of asked) this.o.send(inst, { k: 'resync', token: this.token });
+  }
+
   /** A stop that its owner did not act on is asked for again. */
   private forgetEvictions(now: number): void {
     for (const m of this.machines.values())
@@ -1201,6 +1219,7 @@
     this.watchSilence(now);
     this.watchDoubt(now);
     this.forgetEvictions(now);
+    this.askUnsynced(now);
     this.drain(now);
     this.pollRemove(now);
     this.dirty = true;
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -49,6 +49,8 @@
   idleSince: number;
   errors: Map<string, number>;
   strangers: Map<string, number>;
+  /** Room being freed here by stops is for this job. */
+  reserved: { job: string; rank: number; until: number } | null;
   runs: number;
   slow: number;
 }
@@ -82,6 +84,7 @@
     idleSince: now,
     errors: new Map(),
     strangers: new Map(),
+    reserved: null,
     runs: 0,
     slow: 0,
   };
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -14,6 +14,7 @@
   fetchGbPerS: number;
   /** Seconds added to its rank: a machine not heard lately, or slow. */
   penalty: number;
+  reserved: { job: string; rank: number } | null;
 }
 
 const EPS = 1e-9;
@@ -65,6 +66,7 @@
   let found: Room | null = null;
   let rank = Number.POSITIVE_INFINITY;
   for (const r of rooms) {
+    if (r.reserved && r.reserved.job !== w.job && r.reserved.rank <= w.rank) continue;
     if (!fits(r, w) || !allowed(r, w) || w.avoid.includes(r.name)) continue;
     const v = rankRoom(r, w, scarceZone);
     if (v < rank) {
@@ -139,5 +141,6 @@
     images: null,
     fetchGbPerS: t.fetchGbPerS,
     penalty: 0,
+    reserved: null,
   };
 }
--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -233,11 +233,23 @@
     if (Number.isFinite(ms))
       this.later(t, ms, () => {
         if (t.phase !== 'running') return;
-        this.w.setDone(t.job, t.idx);
-        this.exit(t, 'done');
+        this.finish(t);
       });
   }
 
+  /** A gang completes together: when one task is done, all are. */
+  private finish(t: Task): void {
+    const s = this.w.spec(t.job);
+    if (s?.shape !== 'gang') {
+      this.w.setDone(t.job, t.idx);
+      return this.exit(t, 'done');
+    }
+    for (let i = 0; i < s.tasks; i++) this.w.setDone(t.job, i);
+    for (const m of this.w.gangMates(t.job, t.attempt))
+      if (m.phase === 'running') Object.assign(m, { phase: 'exited', why: 'done' });
+    this.changed = true;
+  }
+
   private gang(t: Task, s: JobSpec): void {
     const check = () => {
       if (t.phase !== 'waiting') return;
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -5,8 +5,10 @@
   Clock,
   CloudPort,
   Failure,
+  Fields,
   JobSpec,
   ListedMachine,
+  Logger,
   MachineType,
   Result,
   StatePort,
@@ -141,7 +143,7 @@
       ttlMs: 2500,
       policy: POLICY,
       clock,
-      log: { debug: noop, info: noop, error: noop },
+      log: this.logger(host),
       statePort: this.statePort(host, p),
       cloud: this.cloudPort(host, p),
       worker: this.workerPort(host, p),
@@ -165,6 +167,14 @@
     }
   }
 
+  /** SIMLOG=1 prints what the controllers decide, with simulated time. */
+  private logger(host: string): Logger {
+    if (!process.env.SIMLOG) return { debug: noop, info: noop, error: noop };
+    const out = (f: Fields, msg: string) =>
+      console.log(`${(this.sim.now / 1000).toFixed(3)} ${host} ${msg} ${JSON.stringify(f)}`);
+    return { debug: out, info: out, error: out };
+  }
+
   kill(host: string, backMs: number): void {
     const p = this.procs.get(host);
     if (!p?.alive) return;
@@ -380,7 +390,7 @@
 
   abort(id: string): void {
     const j = this.jobs.get(id);
-    if (!j || !j.accepted || j.askedCancel) return;
+    if (!j?.accepted || j.askedCancel) return;
     j.askedCancel = true;
     const go = (left: number) =>
       this.ask(
