--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -68,6 +68,7 @@
   private readonly owners = new Map<string, OwnerRef>();
   private readonly wants = new Map<string, Want[]>();
   private readonly holds = new Map<string, number>();
+  private readonly declined = new Map<string, number>();
   private readonly capacity = new Capacity(8000);
   private readonly outbox = new Map<string, Seen[]>();
   private readonly startedAt: number;
@@ -225,7 +226,14 @@
       if (m && e && this.heeds(inst, e.team) && e.settled) this.removeEntry(m, e);
     }
     const ids = new Set(grants.map((g) => `grant#${g}`));
-    if (ids.size > 0) this.dropHolds((e) => ids.has(e.key));
+    if (ids.size === 0) return;
+    // A grant its owner can't use is not offered again at once.
+    const until = this.o.clock.now() + 300;
+    this.dropHolds((e) => {
+      if (!ids.has(e.key)) return false;
+      this.declined.set(e.job, until);
+      return true;
+    });
   }
 
   private dropHolds(which: (e: Entry) => boolean): void {
@@ -336,6 +344,8 @@
       }
       const t = m.tasks.get(e.key) ?? null;
       if (t) {
+        // The answer that carried its start has been handled, or was dropped.
+        if (asReport && r.tally > e.sentWith) e.sentWith = -1;
         if (t.phase !== e.listed?.phase) this.phase(m, e, t, now);
         e.listed = t;
         e.settled = false;
@@ -740,6 +750,11 @@
     for (const { want, inst } of refs) {
       let count = want.count - (this.holds.get(want.job) ?? 0);
       wanted.add(want.job);
+      const pause = this.declined.get(want.job);
+      if (pause !== undefined) {
+        if (pause > now) continue;
+        this.declined.delete(want.job);
+      }
       if (count <= 0 || (want.whole && count < want.count)) continue;
       const ready = this.o.entitled();
       if (ready)
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -68,6 +68,12 @@
   toReap: { p: Placement; listed: boolean }[];
 }
 
+/** What follows when a job's part of a transaction is stored, or surely was not. */
+interface Commit {
+  done: (mark: number) => void;
+  undo: () => void;
+}
+
 export interface OwnerOptions {
   inst: string;
   teams: Map<string, Team>;
@@ -79,6 +85,8 @@
   state: StatePort;
   clock: Clock;
   log: Logger;
+  /** The mirrored records under `open/`. */
+  openItems(): Iterable<[string, { value: unknown; version: number }]>;
   send(msg: OwnerMsg): void;
   wake(): void;
 }
@@ -187,6 +195,11 @@
           }
           this.o.log.info({ team: name, jobs: n, gen: t.gen }, 'team loaded');
         }
+        // Jobs accepted between the listing and now were shown by the watch before the team was loaded.
+        for (const [key, it] of this.o.openItems()) {
+          const [, id, part] = key.split('/');
+          if (id && part === 'a') this.openChanged(id, part, it.value, it.version);
+        }
         this.needSync = true;
         this.o.wake();
       }),
@@ -733,6 +746,7 @@
     if (this.txnBusy || this.o.clock.now() < this.retryFlushAt) return;
     const txn: Txn = { when: [], then: [] };
     const after: ((mark: number) => void)[] = [];
+    const undo: (() => void)[] = [];
     const part: Job[] = [];
     const teams = new Set<string>();
     let bytes = 0;
@@ -760,7 +774,8 @@
         txn.when.push({ key: `open/${j.spec.id}/n`, version: j.nMark });
       teams.add(j.spec.team);
       part.push(j);
-      after.push(commit);
+      after.push(commit.done);
+      undo.push(commit.undo);
     }
     if (part.length === 0) return;
     for (const t of teams) txn.when.push({ key: `sys/team/${t}`, version: this.teams.get(t)?.gen ?? -1 });
@@ -773,6 +788,8 @@
       if (r.ok) {
         for (const f of after) f(r.value);
       } else if (r.kind === 'refused') {
+        // Surely not executed: what was to be stored still is.
+        for (const f of undo) f();
         this.retryFlushAt = this.o.clock.now() + 100;
         this.o.clock.after(110, () => this.o.wake());
       } else {
@@ -804,7 +821,7 @@
     return (j.cancelled || (j.count.full && !j.dirtyCount)) && j.placed.size === 0;
   }
 
-  private jobOps(j: Job, room: number, ops: StateOp[]): ((mark: number) => void) | null {
+  private jobOps(j: Job, room: number, ops: StateOp[]): Commit | null {
     const id = j.spec.id;
     const countToo = j.dirtyCount;
     const chunks = [...j.dirtyChunks].slice(0, Math.max(0, room - (countToo ? 1 : 0)));
@@ -848,7 +865,12 @@
     j.dirtyCount = false;
     for (const c of chunks) j.dirtyChunks.delete(c);
     j.toReap = kept;
-    return (mark) => {
+    const undo = () => {
+      j.dirtyCount ||= countToo;
+      for (const c of chunks) j.dirtyChunks.add(c);
+      j.toReap.push(...done);
+    };
+    const commit = (mark: number) => {
       if (countToo) {
         j.nMark = mark;
         j.storedRunning = running;
@@ -870,6 +892,7 @@
       }
       for (const r of done) this.sendReap(j, r);
     };
+    return { done: commit, undo };
   }
 
   private sendReap(j: Job, r: { p: Placement; listed: boolean }): void {
@@ -879,7 +902,7 @@
   }
 
   /** A job that is over leaves one final record; its working records are dropped, placements first. */
-  private archiveOps(j: Job, room: number, ops: StateOp[]): ((mark: number) => void) | null {
+  private archiveOps(j: Job, room: number, ops: StateOp[]): Commit | null {
     const id = j.spec.id;
     const need = 2 + (j.nMark > 0 ? 1 : 0);
     if (room < need + Math.min(1, j.chunkMarks.size)) return null;
@@ -892,7 +915,7 @@
       if (j.nMark > 0) ops.push({ del: `open/${id}/n` });
     }
     const reaps = j.toReap;
-    return () => {
+    const commit = () => {
       for (const c of chunks) {
         j.chunkMarks.delete(c);
         j.dirtyChunks.delete(c);
@@ -904,5 +927,6 @@
         this.o.log.debug({ job: id, cancelled: j.cancelled, done: j.count.n }, 'job filed');
       }
     };
+    return { done: commit, undo: () => {} };
   }
 }
