--- a/src/core/autoscale.ts
+++ b/src/core/autoscale.ts
@@ -12,7 +12,10 @@
 export class Capacity {
   private readonly blocked = new Map<string, { until: number; pause: number }>();
 
-  constructor(private readonly firstMs: number) {}
+  constructor(
+    private readonly firstMs: number,
+    private readonly mostMs: number,
+  ) {}
 
   static key(r: { type: string; zone: string; spot: boolean }): string {
     return `${r.type}|${r.zone}|${r.spot ? 's' : 'o'}`;
@@ -25,7 +28,7 @@
 
   refused(r: { type: string; zone: string; spot: boolean }, now: number): void {
     const k = Capacity.key(r);
-    const pause = Math.min(60000, (this.blocked.get(k)?.pause ?? this.firstMs / 2) * 2);
+    const pause = Math.min(this.mostMs, (this.blocked.get(k)?.pause ?? this.firstMs / 2) * 2);
     this.blocked.set(k, { until: now + pause, pause });
   }
 
@@ -112,8 +115,8 @@
         const at = { type: type.name, zone, spot };
         if (!allowed(at, w) || !i.capacity.open(at, i.now)) continue;
         const wait = type.bootS + w.imageGb / Math.max(0.01, type.fetchGbPerS);
-        let c = ((spot ? type.spotPrice : type.price) / Math.min(per, count)) * (1 + wait / i.amortizeS);
-        if (zone === i.scarceZone && !w.zoneRoom) c *= 1.5;
+        const c = ((spot ? type.spotPrice : type.price) / Math.min(per, count)) * (1 + wait / i.amortizeS);
+        if (zone === i.scarceZone && !spot && !w.zoneRoom && w.zone !== zone) continue;
         if (c < cost) {
           cost = c;
           found = { type, zone, spot };
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -9,6 +9,7 @@
   KeeperMsg,
   Logger,
   MachineType,
+  Objective,
   OwnerMsg,
   StatePort,
   Team,
@@ -41,6 +42,7 @@
   workers: { reportS: number; leaseS: number; cancelS: number };
   state: { valueKb: number; txnOps: number };
   listLagS: number;
+  objectives: Objective[];
   /** Lease of a controller's record, in ms. */
   ttlMs: number;
   policy: PolicyFn;
@@ -378,6 +380,7 @@
       teams: this.teams,
       workers: this.o.workers,
       listLagS: this.o.listLagS,
+      objectives: this.o.objectives,
       first: rec.token === 1,
       clock: this.o.clock,
       log: this.o.log,
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -11,6 +11,7 @@
   ListedMachine,
   Logger,
   MachineType,
+  Objective,
   OwnerMsg,
   Seen,
   Team,
@@ -27,6 +28,7 @@
   teams: Map<string, Team>;
   workers: { reportS: number; leaseS: number; cancelS: number };
   listLagS: number;
+  objectives: Objective[];
   /** A first keeper ever finds no machines of an earlier one on their way. */
   first: boolean;
   clock: Clock;
@@ -69,10 +71,14 @@
   private readonly wants = new Map<string, Want[]>();
   private readonly holds = new Map<string, number>();
   private readonly declined = new Map<string, number>();
-  private readonly capacity = new Capacity(8000);
+  private readonly capacity = new Capacity(5000, 15000);
   private readonly outbox = new Map<string, Seen[]>();
   private readonly startedAt: number;
   private readonly serviceShapes = new Map<string, { want: Want; at: number; inst: string }>();
+  /** Classes with an aim on waiting, and the mean size of their jobs. */
+  private readonly waits = new Set<string>();
+  private readonly batchShapes = new Map<string, { want: Want; mean: number }>();
+  private readonly finish = new Map<string, number[]>();
   private rentalsOut = new Map<string, Rental>();
   private claims = 0;
   private grants = 0;
@@ -82,6 +88,7 @@
   private nextScale = 0;
   private nextList = 0;
   private nextAsk = 0;
+  private nextMove = 0;
   private listed = false;
   private listing = false;
   private removeBusy = false;
@@ -93,6 +100,14 @@
   constructor(private readonly o: KeeperOptions) {
     this.token = o.token;
     this.startedAt = o.clock.now();
+    for (const a of o.objectives) {
+      if (a.kind === 'wait') this.waits.add(a.cls);
+      if (a.kind === 'finished')
+        this.finish.set(
+          a.cls,
+          [...(this.finish.get(a.cls) ?? []), a.withinS].sort((x, y) => x - y),
+        );
+    }
     this.policyNow = o.policy(this.policyInput());
   }
 
@@ -180,6 +195,12 @@
   }
 
   private setWants(inst: string, wants: Want[]): void {
+    const old = new Set(this.wants.get(inst)?.map((w) => w.job));
+    for (const w of wants)
+      if (!w.service && !w.whole && !old.has(w.job) && this.waits.has(w.cls)) {
+        const b = this.batchShapes.get(w.cls);
+        this.batchShapes.set(w.cls, { want: w, mean: b ? b.mean * 0.9 + w.count * 0.1 : w.count });
+      }
     this.wants.set(inst, wants);
     for (const w of wants)
       if (w.service) this.serviceShapes.set(`${w.cls}|${w.image}`, { want: w, at: this.o.clock.now(), inst });
@@ -666,7 +687,8 @@
     const silent = (this.o.workers.reportS * 1.25 + 1) * 1000;
     for (const m of this.machines.values()) {
       const t = types.get(m.type);
-      if (!t || !m.up || m.removing || m.retired || m.leaveAt !== null || this.strange(m)) continue;
+      if (!t || !m.up || m.removing || m.retired || m.leaving || m.leaveAt !== null || this.strange(m))
+        continue;
       // A machine not heard of lately gets nothing new.
       if (now - m.heardAt > silent * 1.6 || m.probeFails > 0) continue;
       const r = emptyRoom(t, m.zone, m.spot, m.name);
@@ -714,29 +736,42 @@
     return u.cpus + more.cpus <= t.cpus + 1e-9 && (more.gpus <= 0 || u.gpus + more.gpus <= t.gpus + 1e-9);
   }
 
-  /** The zone with the least ordinary room in all, while there are jobs that must be spread over zones. */
+  /** The zone with the fewest types, then the least ordinary room, while jobs must be spread over zones. */
   private scarceZone(): string | null {
     let spread = false;
     for (const s of this.serviceShapes.values()) if (s.want.zoneRoom) spread = true;
     if (!spread) return null;
-    const room = new Map<string, number>();
-    for (const t of this.o.types()) for (const z of t.zones) room.set(z, room.get(z) ?? 0);
+    const room = new Map<string, { types: number; cpus: number }>();
+    const byName = new Map(this.o.types().map((t) => [t.name, t]));
+    for (const t of byName.values())
+      for (const z of t.zones) {
+        const r = room.get(z) ?? { types: 0, cpus: 0 };
+        r.types++;
+        room.set(z, r);
+      }
     if (room.size < 2) return null;
     for (const m of this.machines.values()) {
-      const t = this.o.types().find((x) => x.name === m.type);
-      if (t && !m.spot && room.has(m.zone)) room.set(m.zone, (room.get(m.zone) ?? 0) + t.cpus);
+      const r = room.get(m.zone);
+      if (r && !m.spot) r.cpus += byName.get(m.type)?.cpus ?? 0;
     }
-    return [...room].sort((a, b) => a[1] - b[1])[0]?.[0] ?? null;
+    const sorted = [...room].sort((a, b) => a[1].types - b[1].types || a[1].cpus - b[1].cpus);
+    return sorted[0]?.[0] ?? null;
   }
 
   private pass(now: number): { want: Want; count: number }[] {
     const left: { want: Want; count: number }[] = [];
-    const refs: (WantRef & { inside: boolean })[] = [];
+    const wall = this.o.clock.wall();
+    const refs: (WantRef & { inside: boolean; stage: number })[] = [];
     const usage = this.usage();
     for (const [inst, wants] of this.wants)
       for (const want of wants)
         if (this.heeds(inst, want.team))
-          refs.push({ want, inst, inside: this.within(usage.get(want.team), want.team, want) });
+          refs.push({
+            want,
+            inst,
+            inside: this.within(usage.get(want.team), want.team, want),
+            stage: this.stage(want, wall),
+          });
     refs.sort(
       (a, b) =>
         a.want.rank - b.want.rank || Number(b.inside) - Number(a.inside) || a.want.order - b.want.order,
@@ -747,7 +782,14 @@
     const grants = new Map<string, Grant[]>();
     const wanted = new Set<string>();
     const promised = this.freeing(now);
+    const kept = [...this.batchShapes.values()].sort((a, b) => a.want.rank - b.want.rank);
     for (const { want, inst } of refs) {
+      // Lower work leaves the room that the next job of a class with an aim on waiting will need.
+      while (kept.length > 0 && kept[0]!.want.rank < want.rank) {
+        const k = kept.shift()!;
+        const free: Want = { ...k.want, avoid: [], near: '', zoneRoom: null };
+        fill(list, free, Math.round(k.mean * this.policyNow.reserve_batch), scarce, () => {});
+      }
       let count = want.count - (this.holds.get(want.job) ?? 0);
       wanted.add(want.job);
       const pause = this.declined.get(want.job);
@@ -781,6 +823,21 @@
     return left;
   }
 
+  /**
+   * Release order within rank and guarantee has one exception: a job that can still meet its aim goes ahead of
+   * one that can't any more, until that one is long overdue.
+   */
+  private stage(w: Want, wall: number): number {
+    const ageS = (wall - w.atMs) / 1000;
+    if (w.dueMs !== null) return wall + w.estimateS * 1000 <= w.dueMs ? 0 : 1;
+    const aims = this.finish.get(w.cls);
+    if (!aims || w.service) return 0;
+    const last = aims.at(-1) ?? 0;
+    if (ageS > last * 3) return 0;
+    const k = aims.findIndex((a) => ageS + w.estimateS <= a);
+    return k < 0 ? aims.length : k;
+  }
+
   private grant(m: Machine, w: Want, now: number): Grant {
     const id = ++this.grants;
     const e = newEntry(
@@ -802,6 +859,7 @@
         image: w.image,
         imageGb: w.imageGb,
         estimateS: w.estimateS,
+        types: w.types,
         grant: id,
       },
       now,
@@ -1075,7 +1133,7 @@
       }
       if (m.entries.size > 0 || m.tasks.size > m.strangers.size) continue;
       if ([...m.tasks.values()].some((x) => x.phase !== 'exited')) continue;
-      if (m.retired || m.leaveAt !== null) {
+      if (m.retired || m.leaving || m.leaveAt !== null) {
         this.remove(m, 'empty, and not used any more');
         continue;
       }
@@ -1118,26 +1176,93 @@
         if (e.evicting > 0 && e.want === 'run' && now - e.evicting > 5000) e.evicting = 0;
   }
 
+  /**
+   * Replicas move together when that empties a machine: one at a time, to room that is free now, with their image
+   * there, and only replicas that have run for a while.
+   */
+  private consolidate(now: number): void {
+    if (now < this.nextMove || !this.o.entitled() || !this.allSynced() || now - this.startedAt < 30000)
+      return;
+    this.nextMove = now + 3000;
+    for (const wants of this.wants.values()) if (wants.some((w) => w.service)) return;
+    const types = new Map(this.o.types().map((t) => [t.name, t]));
+    const scarce = this.scarceZone();
+    const all: { m: Machine; moves: Entry[]; gain: number }[] = [];
+    for (const m of this.machines.values()) {
+      if (m.leaving) {
+        if (m.entries.size > 0) return;
+        continue;
+      }
+      const t = types.get(m.type);
+      if (!t || m.spot || !m.up || m.removing || m.retired || now - m.heardAt > 8000) continue;
+      const moves = [...m.entries.values()].filter((e) => e.service && takesRoom(e));
+      if (moves.length === 0) continue;
+      if (moves.some((e) => e.want !== 'run' || e.listed?.phase !== 'running' || now - e.since < 35000))
+        continue;
+      all.push({ m, moves, gain: t.price / moves.length });
+    }
+    all.sort((a, b) => b.gain - a.gain);
+    for (const { m, moves } of all) {
+      const rooms = [...this.rooms(now).values()].filter((r) => r.name !== m.name && !r.spot);
+      const fits = moves.every((e) => {
+        const here = rooms.filter(
+          (r) => r.zone === m.zone && r.images?.has(e.image) && (!e.types || e.types.includes(r.type)),
+        );
+        const shape = this.serviceShapes.values().next().value?.want;
+        if (!shape) return false;
+        const w: Want = {
+          ...shape,
+          ...e,
+          avoid: [],
+          near: '',
+          zone: m.zone,
+          zoneRoom: {},
+          zoneCap: 1,
+          whole: false,
+          count: 1,
+          spot: false,
+        };
+        return fill(here, w, 1, null, () => {}) === 0;
+      });
+      if (!fits) continue;
+      if (this.reserve().some((x) => fill(rooms, x.want, x.count, scarce, () => {}) > 0)) continue;
+      m.leaving = true;
+      this.o.log.info(
+        { machine: m.name, type: m.type, replicas: moves.length },
+        'replicas move to empty a machine',
+      );
+      this.evictAll(moves, now, `${m.name} is emptied`);
+      return;
+    }
+  }
+
+  private evictAll(entries: Entry[], now: number, why: string): void {
+    const stops = new Map<string, { job: string; idx: number; attempt: number }[]>();
+    for (const e of entries) {
+      e.evicting = now;
+      const inst = this.owners.get(e.team)?.inst;
+      if (!inst) continue;
+      const l = stops.get(inst) ?? [];
+      l.push({ job: e.job, idx: e.idx, attempt: e.attempt });
+      stops.set(inst, l);
+    }
+    for (const [inst, tasks] of stops) this.o.send(inst, { k: 'evict', token: this.token, tasks, why });
+  }
+
   /** Tasks on a machine about to be taken, or retired, move while there is time. */
   private drain(now: number): void {
     for (const m of this.machines.values()) {
       if (m.removing || (m.leaveAt === null && !m.retired)) continue;
-      const stops = new Map<string, { job: string; idx: number; attempt: number }[]>();
+      const moves: Entry[] = [];
       for (const e of m.entries.values()) {
         if (e.want !== 'run' || e.evicting) continue;
         if (m.leaveAt !== null && !e.service && e.estimateS > 0 && e.listed?.phase === 'running') {
           // What will be finished before the machine goes is left to finish.
           if (e.estimateS * 0.8 - (now - e.since) / 1000 < (m.leaveAt - now) / 1000) continue;
         } else if (m.retired && m.leaveAt === null && !e.service) continue;
-        e.evicting = now;
-        const inst = this.owners.get(e.team)?.inst;
-        if (!inst) continue;
-        const l = stops.get(inst) ?? [];
-        l.push({ job: e.job, idx: e.idx, attempt: e.attempt });
-        stops.set(inst, l);
+        moves.push(e);
       }
-      for (const [inst, tasks] of stops)
-        this.o.send(inst, { k: 'evict', token: this.token, tasks, why: `${m.name} leaves` });
+      this.evictAll(moves, now, `${m.name} leaves`);
     }
   }
 
@@ -1236,6 +1361,7 @@
     this.forgetEvictions(now);
     this.askUnsynced(now);
     this.drain(now);
+    this.consolidate(now);
     this.pollRemove(now);
     this.dirty = true;
     this.o.wake();
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -46,6 +46,8 @@
   images: Map<string, number>;
   removing: boolean;
   retired: boolean;
+  /** Being emptied, to be returned. */
+  leaving: boolean;
   idleSince: number;
   errors: Map<string, number>;
   strangers: Map<string, number>;
@@ -81,6 +83,7 @@
     images: new Map(),
     removing: false,
     retired: false,
+    leaving: false,
     idleSince: now,
     errors: new Map(),
     strangers: new Map(),
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -589,6 +589,7 @@
       image: s.image,
       imageGb: s.imageGb,
       estimateS: s.estimateS,
+      types: s.types,
       grant,
     };
   }
@@ -719,6 +720,7 @@
       cls: s.cls,
       rank: s.rank,
       order: j.order,
+      atMs: s.at,
       dueMs: s.deadlineS === null ? null : s.at + s.deadlineS * 1000,
       count: open,
       whole: s.shape === 'gang',
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -14,6 +14,8 @@
 export interface Policy {
   /** Service replicas that find room at once, beyond those running. */
   reserve_replicas: number;
+  /** Free room kept for classes with an aim on waiting, as a multiple of their mean job. */
+  reserve_batch: number;
   /** Seconds a machine may stand empty before it is returned. */
   idle_s: number;
   /** Seconds over which boot and image fetch of a rented machine are paid off. */
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -57,7 +57,6 @@
   if (w.near === r.name) v -= 1;
   // Work that may use cheap machines leaves the ordinary ones to work that may not.
   if (w.spot && !r.spot) v += 4;
-  // A zone that jobs which must be spread depend on is left to them.
   if (scarceZone === r.zone && !w.zoneRoom) v += 6;
   return v;
 }
@@ -67,6 +66,9 @@
   let rank = Number.POSITIVE_INFINITY;
   for (const r of rooms) {
     if (r.reserved && r.reserved.job !== w.job && r.reserved.rank <= w.rank) continue;
+    // The ordinary room of a zone that jobs which must be spread depend on is theirs; what can be stopped
+    // for them may use it meanwhile.
+    if (scarceZone === r.zone && !r.spot && w.service && !w.zoneRoom && w.zone === null) continue;
     if (!fits(r, w) || !allowed(r, w) || w.avoid.includes(r.name)) continue;
     const v = rankRoom(r, w, scarceZone);
     if (v < rank) {
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -98,7 +98,8 @@
   rank: Rank;
   /** Release order: the revision of the acceptance, or better for a job already begun. */
   order: number;
-  /** Latest useful start in ms of the time of day, or null. */
+  /** Time of day of its acceptance, and by when it should be complete, in ms. */
+  atMs: number;
   dueMs: number | null;
   count: number;
   /** All or none. */
@@ -142,9 +143,17 @@
   image: string;
   imageGb: number;
   estimateS: number;
+  types: string[] | null;
   grant: number;
 }
 
+/** An operator's aim, as the settings restate it. */
+export interface Objective {
+  kind: string;
+  cls: string;
+  withinS: number;
+}
+
 export interface Grant {
   id: number;
   job: string;
--- a/src/main.ts
+++ b/src/main.ts
@@ -68,6 +68,7 @@
     workers: { reportS: p.workers.report_s, leaseS: p.workers.lease_s, cancelS: p.workers.cancel_s },
     state: { valueKb: p.state.value_kb, txnOps: p.state.txn_ops },
     listLagS: p.cloud.list_lag_s,
+    objectives: p.objectives.map((x) => ({ kind: x.kind, cls: x.class ?? '', withinS: x.within_s ?? 0 })),
     ttlMs: TTL_MS,
     policy,
     clock: realClock,
--- a/src/settings/policy.ts
+++ b/src/settings/policy.ts
@@ -7,6 +7,7 @@
 /** Each key with the range its value is held to. */
 const KEYS: Record<keyof Policy, [number, number]> = {
   reserve_replicas: [0, 1000],
+  reserve_batch: [0, 100],
   idle_s: [0, 86400],
   amortize_s: [1, 86400],
   boot_patience: [1, 100],
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -140,6 +140,10 @@
       workers: { reportS: REPORT_S, leaseS: LEASE_S, cancelS: CANCEL_S },
       state: { valueKb: LIMITS.valueKb, txnOps: LIMITS.ops },
       listLagS: 3,
+      objectives: [
+        { kind: 'wait', cls: 'c', withinS: 1 },
+        { kind: 'finished', cls: 'c', withinS: 20 },
+      ],
       ttlMs: 2500,
       policy: POLICY,
       clock,
