--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -897,14 +897,16 @@
 
   private mayStop(w: Want, e: Entry, usage: Map<string, { cpus: number; gpus: number }>): boolean {
     if (e.want !== 'run' || e.evicting || e.settled) return false;
-    if (e.rank > w.rank) return true;
     // Services give way to nothing below them, whatever team they belong to.
     if (e.rank === 0) return false;
-    if (e.team === w.team) return false;
+    if (e.team === w.team || w.rank === 0) return e.rank > w.rank;
     const t = this.o.teams.get(e.team);
     const u = usage.get(e.team);
     const beyond = !!t && !!u && u.cpus > t.cpus + 1e-9;
-    return beyond && this.within(usage.get(w.team), w.team, w);
+    const within = this.within(usage.get(w.team), w.team, w);
+    // A guarantee goes before rank: were it otherwise, each of two teams could stop the other for ever.
+    if (e.rank > w.rank) return beyond || within;
+    return beyond && within;
   }
 
   /** Stops lower work so that `count` tasks of a want find room; least lost work first. */
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -704,7 +704,8 @@
     let zone = s.zone;
     let zoneRoom: Record<string, number> | null = null;
     const cap = Math.ceil(s.tasks / 2);
-    if (s.apart) zoneRoom = {};
+    // One task alone is spread anywhere, and must not count among those that need a second zone.
+    if (s.apart && s.tasks > 1) zoneRoom = {};
     for (const p of j.placed.values()) {
       if (s.together) zone = p.zone;
       if (zoneRoom) zoneRoom[p.zone] = (zoneRoom[p.zone] ?? cap) - 1;
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -65,7 +65,7 @@
   let found: Room | null = null;
   let rank = Number.POSITIVE_INFINITY;
   for (const r of rooms) {
-    if (r.reserved && r.reserved.job !== w.job && r.reserved.rank <= w.rank) continue;
+    if (r.reserved && r.reserved.job !== w.job && w.rank > 0) continue;
     // The ordinary room of a zone that jobs which must be spread depend on is theirs; what can be stopped
     // for them may use it meanwhile.
     if (scarceZone === r.zone && !r.spot && w.service && !w.zoneRoom && w.zone === null) continue;
