--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -127,6 +127,7 @@
       txnOps: o.state.txnOps,
       batch: Math.max(1, Math.round(o.policy(NO_INPUT).batch_tasks)),
       noticeGraceS: 1,
+      objectives: o.objectives,
       openItems: () => this.open.items,
       state: this.state,
       clock: o.clock,
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -78,7 +78,6 @@
   /** Classes with an aim on waiting, and the mean size of their jobs. */
   private readonly waits = new Set<string>();
   private readonly batchShapes = new Map<string, { want: Want; mean: number }>();
-  private readonly finish = new Map<string, number[]>();
   private rentalsOut = new Map<string, Rental>();
   private claims = 0;
   private grants = 0;
@@ -102,11 +101,6 @@
     this.startedAt = o.clock.now();
     for (const a of o.objectives) {
       if (a.kind === 'wait') this.waits.add(a.cls);
-      if (a.kind === 'finished')
-        this.finish.set(
-          a.cls,
-          [...(this.finish.get(a.cls) ?? []), a.withinS].sort((x, y) => x - y),
-        );
     }
     this.policyNow = o.policy(this.policyInput());
   }
@@ -760,8 +754,7 @@
 
   private pass(now: number): { want: Want; count: number }[] {
     const left: { want: Want; count: number }[] = [];
-    const wall = this.o.clock.wall();
-    const refs: (WantRef & { inside: boolean; stage: number })[] = [];
+    const refs: (WantRef & { inside: boolean })[] = [];
     const usage = this.usage();
     for (const [inst, wants] of this.wants)
       for (const want of wants)
@@ -770,7 +763,6 @@
             want,
             inst,
             inside: this.within(usage.get(want.team), want.team, want),
-            stage: this.stage(want, wall),
           });
     refs.sort(
       (a, b) =>
@@ -823,21 +815,6 @@
     return left;
   }
 
-  /**
-   * Release order within rank and guarantee has one exception: a job that can still meet its aim goes ahead of
-   * one that can't any more, until that one is long overdue.
-   */
-  private stage(w: Want, wall: number): number {
-    const ageS = (wall - w.atMs) / 1000;
-    if (w.dueMs !== null) return wall + w.estimateS * 1000 <= w.dueMs ? 0 : 1;
-    const aims = this.finish.get(w.cls);
-    if (!aims || w.service) return 0;
-    const last = aims.at(-1) ?? 0;
-    if (ageS > last * 3) return 0;
-    const k = aims.findIndex((a) => ageS + w.estimateS <= a);
-    return k < 0 ? aims.length : k;
-  }
-
   private grant(m: Machine, w: Want, now: number): Grant {
     const id = ++this.grants;
     const e = newEntry(
@@ -1117,8 +1094,11 @@
 
   private returnIdle(now: number, left: { want: Want; count: number }[]): void {
     if (!this.allSynced() || now - this.startedAt < 5000) return;
-    const idleMs = this.policyNow.idle_s * 1000;
     const types = new Map(this.o.types().map((t) => [t.name, t]));
+    const input = this.policyInput();
+    const idleMs = new Map(
+      [...types.values()].map((t) => [t.name, this.o.policy({ ...input, boot_s: t.bootS }).idle_s * 1000]),
+    );
     for (const m of this.machines.values()) {
       if (m.removing) continue;
       const t = types.get(m.type);
@@ -1139,7 +1119,7 @@
         this.remove(m, 'empty, and not used any more');
         continue;
       }
-      if (now - m.idleSince < idleMs) continue;
+      if (now - m.idleSince < (idleMs.get(m.type) ?? 60000)) continue;
       if (
         left.some(
           (l) =>
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -16,6 +16,7 @@
   JobSpec,
   KeeperMsg,
   Logger,
+  Objective,
   OwnerMsg,
   Seen,
   StateOp,
@@ -82,6 +83,7 @@
   /** Most tasks of one job asked for at a time: the pace of a large fan-out. */
   batch: number;
   noticeGraceS: number;
+  objectives: Objective[];
   state: StatePort;
   clock: Clock;
   log: Logger;
@@ -95,6 +97,9 @@
 export class Owner {
   private readonly jobs = new Map<string, Job>();
   private readonly teams = new Map<string, { gen: number; loaded: boolean; loading: boolean }>();
+  /** Aims on finishing, by class, shortest first. */
+  private readonly finish = new Map<string, number[]>();
+  private readonly batchPlaced = new Map<string, number>();
   private readonly archived = new Set<string>();
   private readonly chunk: number;
   private readonly window: number;
@@ -113,6 +118,12 @@
 
   constructor(private readonly o: OwnerOptions) {
     this.chunk = chunkSize(o.valueKb);
+    for (const a of o.objectives)
+      if (a.kind === 'finished')
+        this.finish.set(
+          a.cls,
+          [...(this.finish.get(a.cls) ?? []), a.withinS].sort((x, y) => x - y),
+        );
     this.window = releaseWindow(o.valueKb);
   }
 
@@ -658,8 +669,17 @@
 
   private wants(): Want[] {
     const now = this.o.clock.now();
+    this.batchPlaced.clear();
+    for (const j of this.jobs.values())
+      if (j.spec.shape !== 'service')
+        this.batchPlaced.set(j.spec.team, (this.batchPlaced.get(j.spec.team) ?? 0) + j.placed.size);
     const jobs = [...this.jobs.values()].filter((j) => !j.cancelled && !j.reloading && !j.count.full);
-    jobs.sort((a, b) => a.spec.rank - b.spec.rank || a.order - b.order);
+    const key = new Map(jobs.map((j) => [j, { stage: this.stage(j), at: this.queuePlace(j) }]));
+    jobs.sort((a, b) => {
+      const x = key.get(a)!;
+      const y = key.get(b)!;
+      return a.spec.rank - b.spec.rank || x.stage - y.stage || x.at - y.at || a.order - b.order;
+    });
     const left = new Map<string, { cpus: number; gpus: number }>();
     for (const [name, t] of this.teams) {
       const lim = this.o.teams.get(name);
@@ -693,6 +713,31 @@
     return out;
   }
 
+  /**
+   * Release order has two exceptions within a rank. A job that can still meet its aim goes ahead of one that
+   * can't any more, until that one is long overdue; and a large array stands back by the time it would take
+   * the places its team has now, so that small ones behind it are not late for its sake.
+   */
+  private stage(j: Job): number {
+    const s = j.spec;
+    const wall = this.o.clock.wall();
+    if (s.deadlineS !== null) return wall + s.estimateS * 1000 <= s.at + s.deadlineS * 1000 ? 0 : 1;
+    const aims = this.finish.get(s.cls);
+    if (!aims || s.shape === 'service') return 0;
+    const ageS = (wall - s.at) / 1000;
+    if (ageS > (aims.at(-1) ?? 0) * 3) return 0;
+    const k = aims.findIndex((a) => ageS + s.estimateS <= a);
+    return k < 0 ? aims.length : k;
+  }
+
+  private queuePlace(j: Job): number {
+    const s = j.spec;
+    if (s.shape === 'service') return s.at;
+    return (
+      s.at + (2000 * s.estimateS * (s.tasks - j.count.n)) / Math.max(10, this.batchPlaced.get(s.team) ?? 0)
+    );
+  }
+
   private uncountedPlaced(j: Job): number {
     let n = 0;
     for (const i of j.placed.keys()) if (!j.count.has(i)) n++;
@@ -720,9 +765,8 @@
       team: s.team,
       cls: s.cls,
       rank: s.rank,
-      order: j.order,
-      atMs: s.at,
-      dueMs: s.deadlineS === null ? null : s.at + s.deadlineS * 1000,
+      order: this.queuePlace(j),
+      stage: this.stage(j),
       count: open,
       whole: s.shape === 'gang',
       service: s.shape === 'service',
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -96,11 +96,10 @@
   team: string;
   cls: string;
   rank: Rank;
-  /** Release order: the revision of the acceptance, or better for a job already begun. */
+  /** Place in the queue within rank, guarantee and stage: lower goes first. */
   order: number;
-  /** Time of day of its acceptance, and by when it should be complete, in ms. */
-  atMs: number;
-  dueMs: number | null;
+  /** 0 while the job can still meet its first aim or deadline, more for each one missed. */
+  stage: number;
   count: number;
   /** All or none. */
   whole: boolean;
