--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -720,6 +720,13 @@
     return u;
   }
 
+  private addUse(usage: Map<string, { cpus: number; gpus: number }>, w: Want): void {
+    const u = usage.get(w.team);
+    if (!u) return;
+    u.cpus += w.cpus;
+    u.gpus += w.gpus;
+  }
+
   private within(
     u: { cpus: number; gpus: number } | undefined,
     team: string,
@@ -794,19 +801,16 @@
       if (ready)
         count = fill(list, want, count, scarce, (r) => {
           const m = this.machines.get(r.name) as Machine;
-          const u = usage.get(want.team);
-          if (u) {
-            u.cpus += want.cpus;
-            u.gpus += want.gpus;
-          }
+          this.addUse(usage, want);
           const g = this.grant(m, want, now);
           const l = grants.get(inst);
           if (l) l.push(g);
           else grants.set(inst, [g]);
         });
       if (count <= 0) continue;
-      // Room that stops already under way will free is waited for before more is stopped.
-      const waiting = fill(promised, want, count, scarce, () => {});
+      // Room that stops already under way will free is waited for before more is stopped; what comes into it
+      // counts as used, or one task's guarantee would be claimed for all.
+      const waiting = fill(promised, want, count, scarce, () => this.addUse(usage, want));
       if (waiting > 0 && ready) this.preempt(want, waiting, usage, now);
       left.push({ want, count });
     }
@@ -940,6 +944,7 @@
         }
       }
       if (!pick) break;
+      this.addUse(usage, w);
       // What is freed is for this want; lower work would only have to be stopped again.
       pick.m.reserved = { job: w.job, rank: w.rank, until: now + 5000 };
       for (const e of pick.victims) {
@@ -1016,6 +1021,19 @@
     return [...zones].map((zone) => ({ want: { ...base, zone, zoneRoom: {}, zoneCap: per }, count: per }));
   }
 
+  /** Images of services for which no free room has the image: their next replica would wait for its fetch. */
+  private coldImages(rooms: Room[], now: number): number {
+    let cold = 0;
+    for (const s of this.serviceShapes.values()) {
+      if (now - s.at > 600000) continue;
+      const warm = rooms.some(
+        (r) => !r.spot && r.images?.has(s.want.image) && r.cpus >= s.want.cpus && r.mem >= s.want.mem,
+      );
+      if (!warm) cold++;
+    }
+    return cold;
+  }
+
   private scale(now: number, left: { want: Want; count: number }[]): void {
     const types = this.o.types();
     if (types.length === 0 || !this.o.entitled()) return;
@@ -1137,6 +1155,14 @@
       const all = this.reserveRooms(now);
       const withIt = this.reserve().reduce((s, x) => s + fill(all, x.want, x.count, scarce, () => {}), 0);
       if (without > withIt) continue;
+      if (
+        !m.spot &&
+        this.coldImages(
+          this.reserveRooms(now).filter((r) => r.name !== m.name),
+          now,
+        ) > this.coldImages(this.reserveRooms(now), now)
+      )
+        continue;
       this.remove(m, 'idle');
       return;
     }
@@ -1208,6 +1234,7 @@
       });
       if (!fits) continue;
       if (this.reserve().some((x) => fill(rooms, x.want, x.count, scarce, () => {}) > 0)) continue;
+      if (this.coldImages(rooms, now) > this.coldImages([...this.rooms(now).values()], now)) continue;
       m.leaving = true;
       this.o.log.info(
         { machine: m.name, type: m.type, replicas: moves.length },
