--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -249,7 +249,8 @@
   ready(): boolean {
     const now = this.o.clock.now();
     if (!this.sys.ready) return false;
-    if (this.stateOk(now)) return true;
+    // In an outage for all, siblings learn of it a little later: that alone must not take this one out.
+    if (now - this.stateOkAt < this.o.ttlMs + 2500) return true;
     for (const h of this.heard.values()) if (now - h.at < 3000 && h.stateOk) return false;
     return true;
   }
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -1068,6 +1068,7 @@
         amortizeS: p.amortize_s,
         scarceZone: scarce,
         maxRentals: 24,
+        services: this.policyInput().services,
       });
       for (const r of plan) this.rent({ ...r, n: Math.min(50, r.n) });
     }
