--- a/src/core/autoscale.ts
+++ b/src/core/autoscale.ts
@@ -55,8 +55,6 @@
   amortizeS: number;
   scarceZone: string | null;
   maxRentals: number;
-  /** Replicas running: what is rented for one will soon be used by others, and they share its image. */
-  services: number;
 }
 
 /** Chooses rentals for work without room: the cheapest place per task, boot and image fetch included. */
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -93,6 +93,8 @@
   private removeBusy = false;
   private removeRetryAt = 0;
   private suspectSince = 0;
+  /** Replicas on silent machines that have no room elsewhere yet. */
+  private readonly rescue = new Map<string, Want[]>();
   private readonly removeQueue = new Set<string>();
   policyNow: Policy;
 
@@ -1055,7 +1057,10 @@
     const phantom = this.reserve()
       .map((x) => ({ want: x.want, count: fill(rooms, x.want, x.count, scarce, () => {}) }))
       .filter((x) => x.count > 0);
-    const need = [...this.afterWaiting(left, now), ...phantom];
+    for (const name of this.rescue.keys())
+      if (!this.machines.has(name) || now - this.machines.get(name)!.heardAt < 3000) this.rescue.delete(name);
+    const rescued = [...this.rescue.values()].flat().map((want) => ({ want, count: 1 }));
+    const need = [...this.afterWaiting(left, now), ...rescued, ...phantom];
     // A new keeper lets the list, the reports and the owners speak first.
     const settled = this.o.first || (this.listed && now - this.startedAt > this.o.listLagS * 1000);
     if (need.length > 0 && settled && this.allSynced()) {
@@ -1068,7 +1073,6 @@
         amortizeS: p.amortize_s,
         scarceZone: scarce,
         maxRentals: 24,
-        services: this.policyInput().services,
       });
       for (const r of plan) this.rent({ ...r, n: Math.min(50, r.n) });
     }
@@ -1217,20 +1221,7 @@
         const here = rooms.filter(
           (r) => r.zone === m.zone && r.images?.has(e.image) && (!e.types || e.types.includes(r.type)),
         );
-        const shape = this.serviceShapes.values().next().value?.want;
-        if (!shape) return false;
-        const w: Want = {
-          ...shape,
-          ...e,
-          avoid: [],
-          near: '',
-          zone: m.zone,
-          zoneRoom: {},
-          zoneCap: 1,
-          whole: false,
-          count: 1,
-          spot: false,
-        };
+        const w: Want = { ...this.wantOf(e, m), zone: m.zone, zoneRoom: {} };
         return fill(here, w, 1, null, () => {}) === 0;
       });
       if (!fits) continue;
@@ -1302,7 +1293,7 @@
     }
     const many = silent.length > Math.max(2, counted * this.policyNow.silent_share);
     if (!many || heard >= silent.length) {
-      for (const m of silent) this.remove(m, 'silent');
+      for (const m of silent) if (!this.waitFor(m, now)) this.remove(m, 'silent');
       return;
     }
     if (this.suspectSince === 0) {
@@ -1323,6 +1314,53 @@
         this.remove(m, 'silent past its lease');
   }
 
+  /**
+   * An ordinary silent machine is left its lease when the replicas on it would find no room elsewhere: they may
+   * well be running behind a cut, and deleting them frees nothing. Room for them is rented meanwhile.
+   */
+  private waitFor(m: Machine, now: number): boolean {
+    this.rescue.delete(m.name);
+    if (m.spot || now - Math.max(m.heardAt, this.startedAt) > this.o.workers.leaseS * 1000) return false;
+    const wants = [...m.entries.values()]
+      .filter((e) => e.service && takesRoom(e))
+      .map((e) => this.wantOf(e, m));
+    const rooms = this.reserveRooms(now).filter((r) => r.name !== m.name);
+    const without = wants.filter((w) => fill(rooms, w, 1, null, () => {}) > 0);
+    if (without.length === 0) return false;
+    this.rescue.set(m.name, without);
+    return true;
+  }
+
+  /** A running replica as a want of its own, in its zone if that zone is the scarce one. */
+  private wantOf(e: Entry, m: Machine): Want {
+    const tied = this.scarceZone() === m.zone;
+    return {
+      job: e.job,
+      team: e.team,
+      cls: '',
+      rank: e.rank,
+      order: 0,
+      stage: 0,
+      count: 1,
+      whole: false,
+      service: e.service,
+      cpus: e.cpus,
+      gpus: e.gpus,
+      mem: e.mem,
+      image: e.image,
+      imageGb: e.imageGb,
+      estimateS: e.estimateS,
+      types: e.types,
+      spot: false,
+      zone: tied ? m.zone : null,
+      together: false,
+      zoneRoom: tied ? {} : null,
+      zoneCap: 1,
+      avoid: [],
+      near: '',
+    };
+  }
+
   private watchDoubt(now: number): void {
     for (const m of this.machines.values()) {
       if (m.doubt.size === 0 || m.removing || now - m.doubtSince < 10000) continue;
