--- /dev/null
+++ b/test/input.test.ts
@@ -0,0 +1,88 @@
+import fc from 'fast-check';
+import { expect, test } from 'vitest';
+import { ProgressLimit } from '../src/core/limits.js';
+import { isMeshMsg } from '../src/io/mesh.js';
+import { readList, readRented, readTypes } from '../src/wire/cloud.js';
+import { readJob } from '../src/wire/jobs.js';
+import { parse } from '../src/wire/json.js';
+import { readEvents, readFailed, readItem, readItems, readLease } from '../src/wire/state.js';
+import { readReport } from '../src/wire/worker.js';
+
+const REPORT = JSON.stringify({
+  trunk: 'vm-1',
+  address: '10.0.0.1:1',
+  bark: 'g',
+  slope: 'a',
+  windfall: true,
+  season: 1,
+  tally: 3,
+  crook: 2,
+  felling_s: null,
+  saplings: [{ sapling: 'wk-000001/3', sprout: 2, phase: 'ended', blight: 'done' }],
+});
+
+test('nothing read from outside throws, random or truncated', () => {
+  const readers = [
+    readReport,
+    readTypes,
+    readList,
+    readRented,
+    readItem,
+    readItems,
+    readEvents,
+    readFailed,
+    readLease,
+    isMeshMsg,
+  ];
+  const known = fc.dictionary(
+    fc.constantFrom(
+      'trunk',
+      'saplings',
+      'season',
+      'items',
+      'log',
+      'barks',
+      'trunks',
+      'ring',
+      'mark',
+      'key',
+      'body',
+      'host',
+      'seq',
+      'name_id',
+    ),
+    fc.jsonValue(),
+  );
+  fc.assert(
+    fc.property(fc.oneof(fc.jsonValue(), known), (v) => {
+      for (const r of readers) r(v);
+      readJob(v, 0);
+    }),
+    { numRuns: 500 },
+  );
+  for (let n = 0; n < REPORT.length; n++) expect(readReport(parse(REPORT.slice(0, n)))).toBe(null);
+  expect(readReport(parse(REPORT))?.tasks[0]?.why).toBe('done');
+});
+
+test('a report with one task that cannot be read proves nothing', () => {
+  // Read as a shorter list it would settle a task that still runs.
+  expect(readReport(parse(REPORT.replace('"sprout":2', '"sprout":null')))).toBe(null);
+});
+
+test('the limit on requests in progress shrinks when answers slow down and grows back', () => {
+  const l = new ProgressLimit(50, 4, 100, 100);
+  let now = 0;
+  const round = (ms: number) => {
+    let n = 0;
+    while (l.enter()) n++;
+    now += ms;
+    for (let i = 0; i < n; i++) l.leave(now, ms);
+    return n;
+  };
+  round(20);
+  for (let i = 0; i < 20; i++) round(1000);
+  const low = l.current;
+  expect(low).toBeLessThan(25);
+  for (let i = 0; i < 200; i++) round(20);
+  expect(l.current).toBeGreaterThan(low * 2);
+});
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -66,7 +66,6 @@
   askedCancel: boolean;
   cancelledAt: number | null;
   told: JobState | null;
-  goneEarly: boolean;
 }
 
 interface Proc {
@@ -287,6 +286,18 @@
     return name;
   }
 
+  /** A machine that is up at once, for tests of their own. */
+  machine(type: string, zone: string, spot: boolean): WorkerStandin {
+    const name = `vm-${String(++this.machines).padStart(6, '0')}`;
+    const t = TYPES.find((x) => x.name === type)!;
+    const m = new WorkerStandin(name, type, zone, spot, { ...t }, this.workerWorld(), {
+      reportMs: REPORT_S * 1000,
+      leaseMs: LEASE_S * 1000,
+    });
+    this.workers.set(name, m);
+    return m;
+  }
+
   /** Deleted, or taken by the cloud. */
   destroy(name: string): void {
     this.booted.delete(name);
@@ -350,7 +361,6 @@
       askedCancel: false,
       cancelledAt: null,
       told: null,
-      goneEarly: false,
     };
     this.jobs.set(spec.id, j);
     const go = (left: number) =>
