--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -584,6 +584,7 @@
         m.spot = l.spot;
         m.addr = l.addr;
       }
+      m.listedUp = l.phase === 'running';
       if (l.phase === 'failed') this.remove(m, 'failed');
       // Our token ends whatever an earlier keeper has on its way, and makes the worker report.
       if (!m.up && l.phase === 'running' && l.addr !== '' && now - m.probeAt > 2000) this.direct(m, true);
@@ -1127,6 +1128,8 @@
       const t = types.get(m.type);
       if (!m.up) {
         const patience = (t?.bootS ?? 30) * 1000 * this.policyNow.boot_patience;
+        // Up under an earlier keeper and not heard by this one: behind a cut, or on its way here.
+        if (m.listedUp && now - m.heardAt < this.o.workers.leaseS * 1000) continue;
         if (
           now - m.rentedAt > patience &&
           now - this.startedAt > this.o.workers.reportS * 4000 &&
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -34,6 +34,8 @@
   reportAt: number;
   up: boolean;
   rentedAt: number;
+  /** The list calls it running, whether or not its worker was heard. */
+  listedUp: boolean;
   leaveAt: number | null;
   entries: Map<string, Entry>;
   tasks: Map<string, TaskReport>;
@@ -72,6 +74,7 @@
     reportAt: 0,
     up: false,
     rentedAt: now,
+    listedUp: false,
     leaveAt: null,
     entries: new Map(),
     tasks: new Map(),
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -1,6 +1,14 @@
 import { expect, test } from 'vitest';
 import { Keeper } from '../src/core/keeper.js';
-import type { Held, KeeperMsg, Result, TaskReport, WorkerCommand, WorkerReport } from '../src/core/types.js';
+import type {
+  Held,
+  KeeperMsg,
+  ListedMachine,
+  Result,
+  TaskReport,
+  WorkerCommand,
+  WorkerReport,
+} from '../src/core/types.js';
 import { job } from './standin/day.js';
 import { TEAMS, TYPES, World } from './standin/world.js';
 
@@ -42,6 +50,8 @@
   const said: KeeperMsg[] = [];
   const calls: { cmds: WorkerCommand[]; cb: (r: Result<WorkerReport>) => void }[] = [];
   const raised: string[] = [];
+  const removed: string[] = [];
+  const list: ListedMachine[] = [];
   const k = new Keeper({
     inst: 'a',
     token,
@@ -52,7 +62,12 @@
     first: true,
     clock: { now: () => now, wall: () => now, after: () => () => {}, soon: () => {}, random: () => 0 },
     log: { debug: () => {}, info: () => {}, error: () => {} },
-    cloud: { types: () => {}, rent: () => {}, remove: () => {}, list: () => {} },
+    cloud: {
+      types: () => {},
+      rent: () => {},
+      remove: (names) => removed.push(...names),
+      list: (_s, cb) => cb({ ok: true, value: { machines: list, more: false } }),
+    },
     worker: { commands: (_a, _t, _s, cmds, cb) => calls.push({ cmds, cb }) },
     types: () => TYPES,
     policy: () => ({
@@ -120,7 +135,7 @@
     now += ms;
     k.tick();
   };
-  return { k, calls, report, tell, settled, later, raised };
+  return { k, calls, report, tell, settled, later, raised, removed, list };
 }
 const listed = (phase: 'running' | 'exited'): TaskReport => ({
   job: 'wk-1',
@@ -172,3 +187,14 @@
   t.report([]);
   expect(t.settled()).toBe(true);
 });
+
+test('a new keeper gives up what does not boot, but not what ran before it led and is not heard yet', () => {
+  const t = keeper(5);
+  const old = { addr: '', type: 'small', zone: 'a', spot: false, ageS: 500 };
+  t.list.push({ name: 'vm-1', phase: 'booting', ...old }, { name: 'vm-2', phase: 'running', ...old });
+  for (let i = 0; i < 15; i++) {
+    t.later(1000);
+    t.k.flush();
+  }
+  expect(t.removed).toEqual(['vm-1']);
+});
