--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -74,7 +74,7 @@
   private readonly capacity = new Capacity(5000, 15000);
   private readonly outbox = new Map<string, Seen[]>();
   private readonly startedAt: number;
-  private readonly serviceShapes = new Map<string, { want: Want; at: number; inst: string }>();
+  private readonly serviceShapes = new Map<string, { want: Want; at: number }>();
   /** Classes with an aim on waiting, and the mean size of their jobs. */
   private readonly waits = new Set<string>();
   private readonly batchShapes = new Map<string, { want: Want; mean: number }>();
@@ -198,11 +198,19 @@
         this.batchShapes.set(w.cls, { want: w, mean: b ? b.mean * 0.9 + w.count * 0.1 : w.count });
       }
     this.wants.set(inst, wants);
-    for (const w of wants)
-      if (w.service) this.serviceShapes.set(`${w.cls}|${w.image}`, { want: w, at: this.o.clock.now(), inst });
+    for (const w of wants) if (w.service) this.learnShape(w);
+  }
+
+  /**
+   * What services need, by image and by whether they must be spread: one kind must not hide the other, and a new
+   * keeper learns both from the replicas that run, not only from those that wait.
+   */
+  private learnShape(w: Want): void {
+    this.serviceShapes.set(`${w.image}|${w.zoneRoom !== null}`, { want: w, at: this.o.clock.now() });
   }
 
   private hold(h: Held): Entry | null {
+    if (h.service) this.learnShape({ ...this.baseWant(h), zoneRoom: h.spread ? {} : null });
     const key = taskKey(h.job, h.idx, h.attempt);
     if (this.gone.has(h.machine)) {
       this.say(h.team, { s: 'settled', job: h.job, idx: h.idx, attempt: h.attempt, machine: h.machine });
@@ -844,6 +852,7 @@
         imageGb: w.imageGb,
         estimateS: w.estimateS,
         types: w.types,
+        spread: w.zoneRoom !== null,
         grant: id,
       },
       now,
@@ -1337,6 +1346,10 @@
   /** A running replica as a want of its own, in its zone if that zone is the scarce one. */
   private wantOf(e: Entry, m: Machine): Want {
     const tied = this.scarceZone() === m.zone;
+    return { ...this.baseWant(e), zone: tied ? m.zone : null, zoneRoom: tied ? {} : null };
+  }
+
+  private baseWant(e: Omit<Held, 'want'>): Want {
     return {
       job: e.job,
       team: e.team,
@@ -1355,9 +1368,9 @@
       estimateS: e.estimateS,
       types: e.types,
       spot: false,
-      zone: tied ? m.zone : null,
+      zone: null,
       together: false,
-      zoneRoom: tied ? {} : null,
+      zoneRoom: null,
       zoneCap: 1,
       avoid: [],
       near: '',
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -601,6 +601,7 @@
       imageGb: s.imageGb,
       estimateS: s.estimateS,
       types: s.types,
+      spread: s.apart && s.tasks > 1,
       grant,
     };
   }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -143,6 +143,8 @@
   imageGb: number;
   estimateS: number;
   types: string[] | null;
+  /** Must be spread over zones. */
+  spread: boolean;
   grant: number;
 }
 
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -124,6 +124,7 @@
     imageGb: 1,
     estimateS: 5,
     types: null,
+    spread: false,
     grant: 0,
   });
   const tell = (want: Held['want']) => k.fromOwner({ k: 'held', token, inst: 'o', held: [held(want)] });
