--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -136,7 +136,11 @@
     now += ms;
     k.tick();
   };
-  return { k, calls, report, tell, settled, later, raised, removed, list };
+  const grants = () => {
+    k.flush();
+    return said.flatMap((m) => (m.k === 'grants' ? m.grants.map((g) => g.job) : []));
+  };
+  return { k, calls, report, tell, settled, later, raised, removed, list, grants };
 }
 const listed = (phase: 'running' | 'exited'): TaskReport => ({
   job: 'wk-1',
@@ -199,3 +203,47 @@
   }
   expect(t.removed).toEqual(['vm-1']);
 });
+
+test('a single replica does not hide that others must be spread: their zone stays theirs', () => {
+  const t = keeper(5);
+  const want = (id: string, spread: boolean): Want => ({
+    job: id,
+    team: 'free',
+    cls: 'c',
+    rank: 0,
+    order: 1,
+    stage: 0,
+    count: 1,
+    whole: false,
+    service: true,
+    cpus: 1,
+    gpus: 0,
+    mem: 1,
+    image: 'i',
+    imageGb: 1,
+    estimateS: 0,
+    types: null,
+    spot: false,
+    zone: null,
+    together: false,
+    zoneRoom: spread ? {} : null,
+    zoneCap: 1,
+    avoid: [],
+    near: '',
+  });
+  const r: WorkerReport = {
+    machine: 'b1',
+    addr: 'b1',
+    type: 'small',
+    zone: 'b',
+    spot: false,
+    season: 1,
+    tally: 1,
+    token: 5,
+    noticeS: null,
+    tasks: [],
+  };
+  t.k.report(r);
+  t.k.fromOwner({ k: 'wants', token: 5, inst: 'o', wants: [want('wk-2', true), want('wk-1', false)] });
+  expect(t.grants()).toEqual(['wk-2']);
+});
