--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -6,6 +6,7 @@
   ListedMachine,
   Result,
   TaskReport,
+  Want,
   WorkerCommand,
   WorkerReport,
 } from '../src/core/types.js';
