--- a/src/core/autoscale.ts
+++ b/src/core/autoscale.ts
@@ -54,9 +54,12 @@
   /** Span over which boot and image fetch are paid off. */
   amortizeS: number;
   scarceZone: string | null;
-  maxRentals: number;
+  /** Calls to the cloud that may be made now, each for up to `MOST_A_CALL` machines of one kind. */
+  maxCalls: number;
 }
 
+const MOST_A_CALL = 50;
+
 /** Chooses rentals for work without room: the cheapest place per task, boot and image fetch included. */
 export function planRentals(i: ScaleInput): Rental[] {
   const rooms = [...i.coming];
@@ -65,28 +68,40 @@
     want: l.want,
     count: fill(rooms, l.want, l.count, i.scarceZone, () => {}),
   }));
-  let budget = i.maxRentals;
-  for (let k = 0; k < rest.length && budget > 0; k++) {
+  const calls = () => [...out.values()].reduce((n, r) => n + Math.ceil(r.n / MOST_A_CALL), 0);
+  for (let k = 0; k < rest.length && calls() < i.maxCalls; k++) {
     const { want } = rest[k]!;
     // Room rented for an earlier want may have space for this one.
     let count = fill(rooms, want, rest[k]!.count, i.scarceZone, () => {});
     let guard = 64;
-    while (count > 0 && budget > 0 && guard-- > 0) {
-      const alike = similar(rest, k);
-      const c = cheapest(i, want, Math.max(count, alike));
+    while (count > 0 && calls() < i.maxCalls && guard-- > 0) {
+      const c = cheapest(i, want, Math.max(count, similar(rest, k)));
       if (!c) break;
       const key = Capacity.key({ type: c.type.name, zone: c.zone, spot: c.spot });
       const r = out.get(key) ?? { type: c.type.name, zone: c.zone, spot: c.spot, n: 0 };
-      r.n++;
+      // As many as this want fills, in one go; spread and joined jobs choose their zones machine by machine.
+      const alone = want.whole || want.zoneRoom !== null || want.together;
+      const n = alone ? 1 : Math.max(1, Math.floor(count / Math.max(1, slots(c.type, want))));
+      const more = Math.min(
+        n,
+        MOST_A_CALL * (i.maxCalls - calls()) + ((MOST_A_CALL - (r.n % MOST_A_CALL)) % MOST_A_CALL),
+      );
+      r.n += more;
       out.set(key, r);
-      budget--;
-      rooms.push(emptyRoom(c.type, c.zone, c.spot, ''));
+      const fresh: Room[] = [];
+      for (let x = 0; x < more; x++) fresh.push(emptyRoom(c.type, c.zone, c.spot, ''));
       const before = count;
-      count = fill(rooms, want, count, i.scarceZone, () => {});
+      count = fill(fresh, want, count, i.scarceZone, () => {});
+      for (const x of fresh) if (x.cpus > 1e-9) rooms.push(x);
       if (count === before && !want.whole) break;
+      if (want.whole) count = fill(rooms, want, count, i.scarceZone, () => {});
     }
   }
-  return [...out.values()];
+  return [...out.values()].flatMap((r) => {
+    const parts: Rental[] = [];
+    for (let left = r.n; left > 0; left -= MOST_A_CALL) parts.push({ ...r, n: Math.min(MOST_A_CALL, left) });
+    return parts;
+  });
 }
 
 /** Tasks of this and later wants that could share a machine rented for this one. */
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -40,8 +40,9 @@
   peers: string[];
   teams: Team[];
   workers: { reportS: number; leaseS: number; cancelS: number };
-  state: { valueKb: number; txnOps: number };
+  state: { valueKb: number; txnOps: number; writeRps: number };
   listLagS: number;
+  cloudRps: number;
   objectives: Objective[];
   /** Lease of a controller's record, in ms. */
   ttlMs: number;
@@ -70,6 +71,9 @@
   | { k: 'reply'; run: () => void }
   | { k: 'tick' };
 
+/** Least time between two watches of the open jobs, which change several times a second. */
+const OPEN_GAP_MS = 100;
+
 export type ReportAnswer =
   | { s: 'ok'; token: number; cmds: WorkerCommand[] }
   | { s: 'other'; keeper: string | null }
@@ -112,19 +116,13 @@
     this.teams = new Map(o.teams.map((t) => [t.name, t]));
     this.stateOkAt = o.clock.now() - 1e6;
     this.state = this.watched(o.statePort);
-    this.door = new Door(
-      this.state,
-      this.teams,
-      () => this.types,
-      o.log,
-      () => o.clock.wall(),
-    );
     const cloud = this.queuedCloud(o.cloud);
     this.owner = new Owner({
       inst: o.inst,
       teams: this.teams,
       valueKb: o.state.valueKb,
       txnOps: o.state.txnOps,
+      writeRps: o.state.writeRps,
       batch: Math.max(1, Math.round(o.policy(NO_INPUT).batch_tasks)),
       noticeGraceS: 1,
       objectives: o.objectives,
@@ -136,12 +134,29 @@
       wake: () => this.wake(),
     });
     this.cloud = cloud;
-    this.sys = new Mirror('sys/', 10000, this.state, o.clock, (key) => this.sysChanged(key));
-    this.open = new Mirror('open/', 10000, this.state, o.clock, (key, value, version) => {
-      if (value === undefined) return;
-      const [, id, part] = key.split('/');
-      if (id && part) this.owner.openChanged(id, part, value, version);
-    });
+    this.sys = new Mirror('sys/', 10000, 0, this.state, o.clock, (key) => this.sysChanged(key));
+    // Followed while this controller owns a team; a door alone catches up when it is asked.
+    this.open = new Mirror(
+      'open/',
+      10000,
+      OPEN_GAP_MS,
+      this.state,
+      o.clock,
+      (key, value, version) => {
+        if (value === undefined) return;
+        const [, id, part] = key.split('/');
+        if (id && part) this.owner.openChanged(id, part, value, version);
+      },
+      false,
+    );
+    this.door = new Door(
+      this.state,
+      this.open,
+      this.teams,
+      () => this.types,
+      o.log,
+      () => o.clock.wall(),
+    );
   }
 
   private readonly cloud: CloudPort;
@@ -210,7 +225,8 @@
       grant: (ms, t) => s.grant(ms, cb(t)),
       touch: (l, t) => s.touch(l, cb(t)),
       end: (l, t) => s.end(l, cb(t)),
-      watch: (p, a, w, t) => s.watch(p, a, w, this.reply(t)),
+      // A watch that waits may be answered long after; one that doesn't tells as much as any read.
+      watch: (p, a, w, t) => s.watch(p, a, w, w === 0 ? cb(t) : this.reply(t)),
     };
   }
 
@@ -248,7 +264,7 @@
   /** Ready unless this controller alone is without the state service. */
   ready(): boolean {
     const now = this.o.clock.now();
-    if (!this.sys.ready) return false;
+    if (!this.sys.ready || !this.open.ready) return false;
     // In an outage for all, siblings learn of it a little later: that alone must not take this one out.
     if (now - this.stateOkAt < this.o.ttlMs + 2500) return true;
     for (const h of this.heard.values()) if (now - h.at < 3000 && h.stateOk) return false;
@@ -382,6 +398,7 @@
       teams: this.teams,
       workers: this.o.workers,
       listLagS: this.o.listLagS,
+      cloudRps: this.o.cloudRps,
       objectives: this.o.objectives,
       first: rec.token === 1,
       clock: this.o.clock,
@@ -465,6 +482,7 @@
       for (const [team, r] of this.teamRecords())
         if (r.inst === this.o.inst && this.teams.has(team)) mine.set(team, r.gen);
       this.owner.setTeams(mine);
+      this.open.follow(mine.size > 0);
       this.keeper?.setOwners(this.teamRecords());
     } else if (key === 'sys/types' && !this.keeper) {
       const v = this.sys.items.get(key)?.value;
--- a/src/core/door.ts
+++ b/src/core/door.ts
@@ -1,4 +1,5 @@
 import { Counter } from './graph.js';
+import type { Mirror } from './mirror.js';
 import { type CountRecord, decodeBits, type EndRecord, type OpenRecord } from './records.js';
 import { slots } from './room.js';
 import type { JobSpec, Logger, MachineType, StatePort, Team, Urgency } from './types.js';
@@ -17,12 +18,13 @@
   end: EndRecord | null;
 }
 
-/** Answers users from the state service alone; only final answers are kept here. */
+/** Answers users from what the state service holds when they ask; only final answers are kept here. */
 export class Door {
   private readonly finals = new Map<string, EndRecord>();
 
   constructor(
     private readonly state: StatePort,
+    private readonly open: Mirror,
     private readonly teams: Map<string, Team>,
     private readonly types: () => MachineType[],
     private readonly log: Logger,
@@ -130,14 +132,17 @@
   private find(id: string, u: Urgency, cb: (f: Found | null) => void): void {
     const final = this.finals.get(id);
     if (final) return cb({ open: null, count: null, end: final });
-    this.state.list(`open/${id}/`, `open/${id}/`, u, (r) => {
-      if (!r.ok) return cb(null);
+    // One read of what has changed answers all questions that came before it was sent.
+    this.open.fresh((ok) => {
+      if (!ok) return cb(null);
+      const a = this.open.items.get(`open/${id}/a`);
+      const n = this.open.items.get(`open/${id}/n`);
       const f: Found = { open: null, count: null, end: null };
-      for (const it of r.value.items) {
-        if (it.key === `open/${id}/a`) f.open = { rec: it.value as OpenRecord, version: it.version };
-        else if (it.key === `open/${id}/n`) f.count = { rec: it.value as CountRecord, version: it.version };
-      }
+      if (a) f.open = { rec: a.value as OpenRecord, version: a.version };
+      if (n) f.count = { rec: n.value as CountRecord, version: n.version };
       if (f.open) return cb(f);
+      const known = this.finals.get(id);
+      if (known) return cb({ ...f, end: known });
       // Moved to its final record in one transaction: not open (any more), then it is there or was never.
       this.state.get(`end/${id}`, u, (e) => {
         if (!e.ok) return cb(null);
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -1,7 +1,16 @@
 import { Capacity, planRentals, type Rental } from './autoscale.js';
-import { type Entry, isNewer, type Machine, newEntry, newMachine, takesRoom } from './machine.js';
+import {
+  type Entry,
+  emptySum,
+  isNewer,
+  type Machine,
+  newEntry,
+  newMachine,
+  sumUp,
+  takesRoom,
+} from './machine.js';
 import type { Policy, PolicyInput } from './policy.js';
-import { allowed, emptyRoom, fill, type Room } from './room.js';
+import { allowed, emptyRoom, fill, fits, type Room, take } from './room.js';
 import type {
   Clock,
   CloudPort,
@@ -28,6 +37,8 @@
   teams: Map<string, Team>;
   workers: { reportS: number; leaseS: number; cancelS: number };
   listLagS: number;
+  /** Calls a second that the cloud takes. */
+  cloudRps: number;
   objectives: Objective[];
   /** A first keeper ever finds no machines of an earlier one on their way. */
   first: boolean;
@@ -61,6 +72,8 @@
 }
 
 const COMMANDS_AT_ONCE = 200;
+/** Machines looked at for emptying at a time. */
+const MOST_TRIES = 12;
 
 /** The elected leader's part: machines, reports, room. It stores nothing; owners and workers tell it all. */
 export class Keeper {
@@ -69,7 +82,25 @@
   private readonly gone = new Set<string>();
   private readonly owners = new Map<string, OwnerRef>();
   private readonly wants = new Map<string, Want[]>();
-  private readonly holds = new Map<string, number>();
+  /** Grants not yet told to be stored, by job, and where each is. */
+  private readonly holds = new Map<string, Set<number>>();
+  private readonly grantAt = new Map<number, Machine>();
+  /** Machines whose entries changed since they were last summed up. */
+  private readonly touched = new Set<Machine>();
+  /** Machines that are up and have something free, or something about to be free. */
+  private readonly withRoom = new Set<Machine>();
+  private readonly withStops = new Set<Machine>();
+  /** Machines to which something may have to be sent. */
+  private readonly toDirect = new Set<Machine>();
+  private readonly used = new Map<string, { cpus: number; gpus: number }>();
+  private readonly total = { services: 0, serviceCpus: 0, batchTasks: 0, ranks: [0, 0, 0, 0] };
+  private typeList: MachineType[] = [];
+  private types = new Map<string, MachineType>();
+  private readonly parts = new Map<string, { sync: number; held: Held[] }>();
+  private scarce: string | null = null;
+  private scarceAt = Number.NEGATIVE_INFINITY;
+  private readonly reserved = new Set<Machine>();
+  private median = { at: Number.NEGATIVE_INFINITY, value: 0 };
   private readonly declined = new Map<string, number>();
   private readonly capacity = new Capacity(5000, 15000);
   private readonly outbox = new Map<string, Seen[]>();
@@ -114,7 +145,7 @@
       const cur = this.owners.get(team);
       if (cur && cur.inst === r.inst && cur.gen === r.gen) continue;
       this.owners.set(team, { inst: r.inst, gen: r.gen, synced: false });
-      this.dropHolds((e) => e.team === team);
+      this.dropHolds([...this.grantAt.keys()].filter((id) => this.holdOf(id)?.team === team));
       // Its owner may have learnt of the record, and told all it holds, before this keeper did.
       this.o.send(r.inst, { k: 'resync', token: this.token });
     }
@@ -143,10 +174,21 @@
   fromOwner(m: OwnerMsg): void {
     if (m.token !== this.token) return;
     switch (m.k) {
-      case 'sync':
-        this.sync(m.inst, m.gens, m.held);
+      case 'sync': {
+        const old = this.parts.get(m.inst);
+        const all = old?.sync === m.sync ? old.held : [];
+        for (const h of m.held) all.push(h);
+        if (m.part < m.parts - 1) {
+          this.parts.set(m.inst, { sync: m.sync, held: all });
+          return;
+        }
+        this.parts.delete(m.inst);
+        // The connection was made anew in between: a part is missing, and all is asked for again.
+        if (m.part > 0 && old?.sync !== m.sync) return;
+        this.sync(m.inst, m.gens, all);
         this.setWants(m.inst, m.wants);
         break;
+      }
       case 'wants':
         this.setWants(m.inst, m.wants);
         break;
@@ -206,7 +248,9 @@
    * keeper learns both from the replicas that run, not only from those that wait.
    */
   private learnShape(w: Want): void {
-    this.serviceShapes.set(`${w.image}|${w.zoneRoom !== null}`, { want: w, at: this.o.clock.now() });
+    const key = `${w.image}|${w.zoneRoom !== null}`;
+    if (!this.serviceShapes.has(key)) this.scarceAt = Number.NEGATIVE_INFINITY;
+    this.serviceShapes.set(key, { want: w, at: this.o.clock.now() });
   }
 
   private hold(h: Held): Entry | null {
@@ -217,6 +261,7 @@
       return null;
     }
     const m = this.machine(h.machine);
+    this.touch(m);
     if (h.grant > 0) {
       const g = m.entries.get(`grant#${h.grant}`);
       if (g) this.removeEntry(m, g);
@@ -240,7 +285,7 @@
     if (m.up && m.season > e.season && e.want !== 'reap') e.settled = true;
     this.judgeAbsent(m, e);
     this.tell(m, e);
-    this.direct(m);
+    this.toDirect.add(m);
     return e;
   }
 
@@ -250,31 +295,80 @@
       const e = m?.entries.get(t.key);
       if (m && e && this.heeds(inst, e.team) && e.settled) this.removeEntry(m, e);
     }
-    const ids = new Set(grants.map((g) => `grant#${g}`));
-    if (ids.size === 0) return;
     // A grant its owner can't use is not offered again at once.
     const until = this.o.clock.now() + 300;
-    this.dropHolds((e) => {
-      if (!ids.has(e.key)) return false;
-      this.declined.set(e.job, until);
-      return true;
-    });
+    for (const id of grants) {
+      const e = this.holdOf(id);
+      if (e) this.declined.set(e.job, until);
+    }
+    this.dropHolds(grants);
   }
 
-  private dropHolds(which: (e: Entry) => boolean): void {
-    for (const m of this.machines.values())
-      for (const e of m.entries.values()) if (e.want === 'hold' && which(e)) this.removeEntry(m, e);
+  private holdOf(id: number): Entry | undefined {
+    return this.grantAt.get(id)?.entries.get(`grant#${id}`);
+  }
+
+  private dropHolds(ids: number[]): void {
+    for (const id of ids) {
+      const m = this.grantAt.get(id);
+      const e = m?.entries.get(`grant#${id}`);
+      if (m && e) this.removeEntry(m, e);
+    }
     this.dirty = true;
   }
 
   private removeEntry(m: Machine, e: Entry): void {
     m.entries.delete(e.key);
-    if (e.want === 'hold') this.holds.set(e.job, Math.max(0, (this.holds.get(e.job) ?? 0) - 1));
-    if (this.holds.get(e.job) === 0) this.holds.delete(e.job);
+    if (e.want === 'hold') {
+      this.grantAt.delete(e.grant);
+      const ids = this.holds.get(e.job);
+      ids?.delete(e.grant);
+      if (ids?.size === 0) this.holds.delete(e.job);
+    }
     if (m.entries.size === 0) m.idleSince = this.o.clock.now();
+    this.touch(m);
+  }
+
+  private touch(m: Machine): void {
+    this.touched.add(m);
     this.dirty = true;
   }
 
+  /** Sums up what has changed, so that a pass costs by the changes and not by the size of the fleet. */
+  private refresh(): void {
+    const list = this.o.types();
+    if (list !== this.typeList) {
+      this.typeList = list;
+      this.types = new Map(list.map((t) => [t.name, t]));
+      for (const m of this.machines.values()) this.touched.add(m);
+    }
+    for (const m of this.touched) {
+      this.count(m, -1);
+      m.sum = this.machines.get(m.name) === m ? sumUp(m, this.types.get(m.type)) : emptySum();
+      this.count(m, 1);
+      const s = m.sum;
+      if (m.up && s.known && s.free.cpus > 1e-9) this.withRoom.add(m);
+      else this.withRoom.delete(m);
+      if (m.up && s.known && s.stopping.cpus > 0) this.withStops.add(m);
+      else this.withStops.delete(m);
+    }
+    this.touched.clear();
+  }
+
+  private count(m: Machine, sign: 1 | -1): void {
+    const s = m.sum;
+    for (const t of s.teams) {
+      const u = this.used.get(t.team) ?? { cpus: 0, gpus: 0 };
+      u.cpus += sign * t.cpus;
+      u.gpus += sign * t.gpus;
+      this.used.set(t.team, u);
+    }
+    this.total.services += sign * s.services;
+    this.total.serviceCpus += sign * s.serviceCpus;
+    this.total.batchTasks += sign * s.batchTasks;
+    for (let k = 0; k < 4; k++) this.total.ranks[k]! += sign * s.ranks[k]!;
+  }
+
   private say(team: string, s: Seen): void {
     const r = this.owners.get(team);
     if (!r?.synced) return;
@@ -360,6 +454,8 @@
       m.idleSince = now;
       this.o.log.debug({ machine: m.name, type: m.type, zone: m.zone, spot: m.spot }, 'machine up');
     }
+    this.touch(m);
+    this.toDirect.add(m);
     m.tasks.clear();
     for (const t of r.tasks) m.tasks.set(taskKey(t.job, t.idx, t.attempt), t);
     for (const e of [...m.entries.values()]) {
@@ -397,7 +493,6 @@
     for (const key of m.strangers.keys()) if (!m.tasks.has(key)) m.strangers.delete(key);
     for (const key of m.tasks.keys())
       if (!m.entries.has(key) && !m.strangers.has(key)) m.strangers.set(key, now);
-    this.dirty = true;
   }
 
   private phase(m: Machine, e: Entry, t: { phase: string; why: string | null }, now: number): void {
@@ -428,10 +523,14 @@
     m.runs++;
     m.slow = m.runs === 1 ? ratio : m.slow * 0.7 + ratio * 0.3;
     if (m.runs < 4 || m.retired) return;
-    const others = [...this.machines.values()].filter((x) => x !== m && x.runs >= 3).map((x) => x.slow);
-    if (others.length < 3) return;
-    others.sort((a, b) => a - b);
-    const median = others[others.length >> 1] ?? 1;
+    const now = this.o.clock.now();
+    if (now - this.median.at > 3000) {
+      const all = [...this.machines.values()].filter((x) => x.runs >= 3).map((x) => x.slow);
+      all.sort((a, b) => a - b);
+      this.median = { at: now, value: all.length > 3 ? (all[all.length >> 1] ?? 0) : 0 };
+    }
+    const median = this.median.value;
+    if (median <= 0) return;
     if (m.slow > median * 2.5) {
       m.retired = true;
       this.o.log.info(
@@ -442,7 +541,7 @@
   }
 
   private trimImages(m: Machine): void {
-    const cache = this.o.types().find((t) => t.name === m.type)?.cacheGb ?? Number.POSITIVE_INFINITY;
+    const cache = this.types.get(m.type)?.cacheGb ?? Number.POSITIVE_INFINITY;
     let sum = 0;
     for (const gb of m.images.values()) sum += gb;
     for (const [name, gb] of m.images) {
@@ -461,6 +560,7 @@
     if (m.token !== this.token || m.tasks.has(e.key)) return;
     if (e.direct || m.directBusy || e.sentWith >= 0 || m.doubt.has(e.key)) return;
     e.settled = true;
+    this.touch(m);
   }
 
   private canStart(m: Machine, e: Entry): boolean {
@@ -513,7 +613,9 @@
   private direct(m: Machine, probe = false): void {
     if (m.directBusy || m.addr === '' || m.removing || !this.o.entitled()) return;
     if (!probe && m.probeFails > 0) return;
-    const cmds = m.up ? this.commands(m, null) : [];
+    let cmds = m.up ? this.commands(m, null) : [];
+    // Ended tasks take no room: their removal rides with the next answer or command.
+    if (!probe && cmds.every((c) => c.op === 'reap')) cmds = [];
     if (cmds.length === 0 && !probe) return;
     m.directBusy = true;
     m.probeAt = this.o.clock.now();
@@ -642,8 +744,8 @@
       this.removeEntry(m, e);
     }
     this.machines.delete(name);
+    this.touch(m);
     this.capacity.freed(m);
-    this.dirty = true;
   }
 
   private rent(r: Rental): void {
@@ -686,27 +788,36 @@
 
   // ---- room -----------------------------------------------------------------------------------------
 
-  private rooms(now: number): Map<string, Room> {
-    const types = new Map(this.o.types().map((t) => [t.name, t]));
-    const out = new Map<string, Room>();
-    const silent = (this.o.workers.reportS * 1.25 + 1) * 1000;
-    for (const m of this.machines.values()) {
-      const t = types.get(m.type);
-      if (!t || !m.up || m.removing || m.retired || m.leaving || m.leaveAt !== null || this.strange(m))
-        continue;
-      // A machine not heard of lately gets nothing new.
-      if (now - m.heardAt > silent * 1.6 || m.probeFails > 0) continue;
-      const r = emptyRoom(t, m.zone, m.spot, m.name);
-      r.images = m.images;
-      if (m.reserved && m.reserved.until > now) r.reserved = m.reserved;
-      r.penalty = (now - m.heardAt > silent ? 10 : 0) + (m.errors.size > 0 ? 20 : 0);
-      for (const e of m.entries.values()) {
-        if (!takesRoom(e)) continue;
-        r.cpus -= e.cpus;
-        r.gpus -= e.gpus;
-        r.mem -= e.mem;
-      }
-      out.set(m.name, r);
+  /** Fit to be given work. A machine not heard of lately gets nothing new. */
+  private usable(m: Machine, now: number): boolean {
+    if (!m.up || m.removing || m.retired || m.leaving || m.leaveAt !== null || m.probeFails > 0) return false;
+    return now - m.heardAt <= this.quietMs() * 1.6 && !this.strange(m);
+  }
+
+  private quietMs(): number {
+    return (this.o.workers.reportS * 1.25 + 1) * 1000;
+  }
+
+  private roomOf(m: Machine, now: number): Room | null {
+    const t = this.types.get(m.type);
+    if (!t || !m.sum.known) return null;
+    const r = emptyRoom(t, m.zone, m.spot, m.name);
+    r.images = m.images;
+    if (m.reserved && m.reserved.until > now) r.reserved = m.reserved;
+    r.penalty = (now - m.heardAt > this.quietMs() ? 10 : 0) + (m.errors.size > 0 ? 20 : 0);
+    r.cpus = m.sum.free.cpus;
+    r.gpus = m.sum.free.gpus;
+    r.mem = m.sum.free.mem;
+    return r;
+  }
+
+  /** Free room of the machines that have any. */
+  private rooms(now: number): Room[] {
+    this.refresh();
+    const out: Room[] = [];
+    for (const m of this.withRoom) {
+      const r = this.usable(m, now) ? this.roomOf(m, now) : null;
+      if (r) out.push(r);
     }
     return out;
   }
@@ -720,14 +831,7 @@
 
   private usage(): Map<string, { cpus: number; gpus: number }> {
     const u = new Map<string, { cpus: number; gpus: number }>();
-    for (const t of this.o.teams.keys()) u.set(t, { cpus: 0, gpus: 0 });
-    for (const m of this.machines.values())
-      for (const e of m.entries.values()) {
-        const x = u.get(e.team);
-        if (!x || !takesRoom(e)) continue;
-        x.cpus += e.cpus;
-        x.gpus += e.gpus;
-      }
+    for (const t of this.o.teams.keys()) u.set(t, { ...(this.used.get(t) ?? { cpus: 0, gpus: 0 }) });
     return u;
   }
 
@@ -749,13 +853,12 @@
   }
 
   /** The zone with the fewest types, then the least ordinary room, while jobs must be spread over zones. */
-  private scarceZone(): string | null {
+  private findScarceZone(): string | null {
     let spread = false;
     for (const s of this.serviceShapes.values()) if (s.want.zoneRoom) spread = true;
     if (!spread) return null;
     const room = new Map<string, { types: number; cpus: number }>();
-    const byName = new Map(this.o.types().map((t) => [t.name, t]));
-    for (const t of byName.values())
+    for (const t of this.types.values())
       for (const z of t.zones) {
         const r = room.get(z) ?? { types: 0, cpus: 0 };
         r.types++;
@@ -764,13 +867,18 @@
     if (room.size < 2) return null;
     for (const m of this.machines.values()) {
       const r = room.get(m.zone);
-      if (r && !m.spot) r.cpus += byName.get(m.type)?.cpus ?? 0;
+      if (r && !m.spot) r.cpus += this.types.get(m.type)?.cpus ?? 0;
     }
     const sorted = [...room].sort((a, b) => a[1].types - b[1].types || a[1].cpus - b[1].cpus);
     return sorted[0]?.[0] ?? null;
   }
 
   private pass(now: number): { want: Want; count: number }[] {
+    this.refresh();
+    if (now - this.scarceAt > 1000) {
+      this.scarceAt = now;
+      this.scarce = this.findScarceZone();
+    }
     const left: { want: Want; count: number }[] = [];
     const refs: (WantRef & { inside: boolean })[] = [];
     const usage = this.usage();
@@ -786,9 +894,8 @@
       (a, b) =>
         a.want.rank - b.want.rank || Number(b.inside) - Number(a.inside) || a.want.order - b.want.order,
     );
-    const rooms = this.rooms(now);
-    const list = [...rooms.values()];
-    const scarce = this.scarceZone();
+    const list = this.rooms(now);
+    const scarce = this.scarce;
     const grants = new Map<string, Grant[]>();
     const wanted = new Set<string>();
     const promised = this.freeing(now);
@@ -800,7 +907,9 @@
         const free: Want = { ...k.want, avoid: [], near: '', zoneRoom: null };
         fill(list, free, Math.round(k.mean * this.policyNow.reserve_batch), scarce, () => {});
       }
-      let count = want.count - (this.holds.get(want.job) ?? 0);
+      // What its owner has taken in of the grants is no longer wanted by it.
+      let count = want.count;
+      for (const id of this.holds.get(want.job) ?? []) if (id > want.seen) count--;
       wanted.add(want.job);
       const pause = this.declined.get(want.job);
       if (pause !== undefined) {
@@ -826,7 +935,11 @@
       left.push({ want, count });
     }
     for (const [inst, g] of grants) this.o.send(inst, { k: 'grants', token: this.token, grants: g });
-    for (const m of this.machines.values()) if (m.reserved && !wanted.has(m.reserved.job)) m.reserved = null;
+    for (const m of this.reserved)
+      if (!m.reserved || !wanted.has(m.reserved.job)) {
+        m.reserved = null;
+        this.reserved.delete(m);
+      }
     return left;
   }
 
@@ -860,30 +973,29 @@
     e.key = `grant#${id}`;
     e.want = 'hold';
     m.entries.set(e.key, e);
-    this.holds.set(w.job, (this.holds.get(w.job) ?? 0) + 1);
+    this.touch(m);
+    this.grantAt.set(id, m);
+    const ids = this.holds.get(w.job);
+    if (ids) ids.add(id);
+    else this.holds.set(w.job, new Set([id]));
     return { id, job: w.job, team: w.team, machine: m.name, zone: m.zone, season: m.season };
   }
 
   /** Room that will be free once the tasks being stopped are gone. */
   private freeing(now: number): Room[] {
     const out: Room[] = [];
-    for (const m of this.machines.values()) {
-      if (m.removing || m.retired || m.leaveAt !== null || !m.up) continue;
-      const t = this.o.types().find((x) => x.name === m.type);
-      if (!t) continue;
-      const r = emptyRoom(t, m.zone, m.spot, m.name);
-      let any = false;
-      for (const e of m.entries.values()) {
-        if (!takesRoom(e)) continue;
-        if (e.want === 'stop' || e.evicting) {
-          any = true;
-          continue;
-        }
-        r.cpus -= e.cpus;
-        r.gpus -= e.gpus;
-        r.mem -= e.mem;
-      }
-      if (any && now - m.heardAt < 10000) out.push(r);
+    for (const m of this.withStops) {
+      if (m.removing || m.retired || m.leaveAt !== null || now - m.heardAt >= 10000) continue;
+      const r = this.roomOf(m, now);
+      if (!r) continue;
+      const s = m.sum.stopping;
+      r.cpus += s.cpus;
+      r.gpus += s.gpus;
+      r.mem += s.mem;
+      r.images = null;
+      r.penalty = 0;
+      r.reserved = null;
+      out.push(r);
     }
     return out;
   }
@@ -902,6 +1014,39 @@
     return beyond && within;
   }
 
+  /** What would have to be stopped on a machine for one task of a want, and what is lost by it. */
+  private offer(
+    m: Machine,
+    w: Want,
+    usage: Map<string, { cpus: number; gpus: number }>,
+    now: number,
+  ): { m: Machine; victims: Entry[]; cost: number } | null {
+    const t = this.types.get(m.type);
+    if (!t) return null;
+    const r = emptyRoom(t, m.zone, m.spot, m.name);
+    if (!allowed(r, w) || w.avoid.includes(m.name)) return null;
+    const may: Entry[] = [];
+    for (const e of m.entries.values()) {
+      // Room that is being freed was promised before.
+      if (!takesRoom(e)) continue;
+      take(r, e);
+      if (!e.evicting && e.want !== 'stop' && this.mayStop(w, e, usage)) may.push(e);
+    }
+    may.sort((a, b) => b.rank - a.rank || b.since - a.since);
+    const victims: Entry[] = [];
+    for (const e of may) {
+      if (r.cpus >= w.cpus && r.mem >= w.mem && r.gpus >= w.gpus) break;
+      victims.push(e);
+      r.cpus += e.cpus;
+      r.gpus += e.gpus;
+      r.mem += e.mem;
+    }
+    if (!fits(r, w) || victims.length === 0) return null;
+    let cost = m.images.has(w.image) ? 0 : w.imageGb * 20;
+    for (const e of victims) cost += (e.cpus * (now - e.since)) / 1000 + (3 - e.rank) * 30;
+    return { m, victims, cost };
+  }
+
   /** Stops lower work so that `count` tasks of a want find room; least lost work first. */
   private preempt(
     w: Want,
@@ -910,55 +1055,27 @@
     now: number,
   ): void {
     if (w.whole) return;
-    const types = new Map(this.o.types().map((t) => [t.name, t]));
+    const inside = this.within(usage.get(w.team), w.team, w);
+    let lower = false;
+    for (let k = w.rank + 1; k < 4; k++) if (this.total.ranks[k]! > 0) lower = true;
+    if (!lower && !inside) return;
     const stops = new Map<string, { job: string; idx: number; attempt: number }[]>();
+    type Pick = { m: Machine; victims: Entry[]; cost: number };
+    const offers: Pick[] = [];
+    for (const m of this.machines.values()) {
+      if (m.sum.batch.cpus <= 0 || !this.usable(m, now)) continue;
+      const o = this.offer(m, w, usage, now);
+      if (o) offers.push(o);
+    }
     for (let n = 0; n < count; n++) {
-      let pick: { m: Machine; victims: Entry[] } | null = null;
-      let cost = Number.POSITIVE_INFINITY;
-      for (const m of this.machines.values()) {
-        const t = types.get(m.type);
-        if (
-          !t ||
-          !m.up ||
-          m.removing ||
-          m.retired ||
-          m.leaveAt !== null ||
-          now - m.heardAt > 8000 ||
-          m.probeFails > 0
-        )
-          continue;
-        const r = emptyRoom(t, m.zone, m.spot, m.name);
-        if (!allowed(r, w) || w.avoid.includes(m.name)) continue;
-        const may: Entry[] = [];
-        for (const e of m.entries.values()) {
-          if (!takesRoom(e) || e.evicting || e.want === 'stop') continue;
-          r.cpus -= e.cpus;
-          r.gpus -= e.gpus;
-          r.mem -= e.mem;
-          if (this.mayStop(w, e, usage)) may.push(e);
-        }
-        may.sort((a, b) => b.rank - a.rank || b.since - a.since);
-        const victims: Entry[] = [];
-        for (const e of may) {
-          if (r.cpus >= w.cpus && r.mem >= w.mem && r.gpus >= w.gpus) break;
-          victims.push(e);
-          r.cpus += e.cpus;
-          r.gpus += e.gpus;
-          r.mem += e.mem;
-        }
-        if (r.cpus + 1e-9 < w.cpus || r.mem + 1e-9 < w.mem || r.gpus + 1e-9 < w.gpus || victims.length === 0)
-          continue;
-        let c = m.images.has(w.image) ? 0 : w.imageGb * 20;
-        for (const e of victims) c += (e.cpus * (now - e.since)) / 1000 + (3 - e.rank) * 30;
-        if (c < cost) {
-          cost = c;
-          pick = { m, victims };
-        }
-      }
+      let pick: Pick | null = null;
+      for (const o of offers) if (!pick || o.cost < pick.cost) pick = o;
       if (!pick) break;
       this.addUse(usage, w);
       // What is freed is for this want; lower work would only have to be stopped again.
       pick.m.reserved = { job: w.job, rank: w.rank, until: now + 5000 };
+      this.reserved.add(pick.m);
+      this.touch(pick.m);
       for (const e of pick.victims) {
         e.evicting = now;
         const u = usage.get(e.team);
@@ -969,6 +1086,9 @@
         l.push({ job: e.job, idx: e.idx, attempt: e.attempt });
         stops.set(inst, l);
       }
+      const again = this.offer(pick.m, w, usage, now);
+      if (again) Object.assign(pick, again);
+      else offers.splice(offers.indexOf(pick), 1);
     }
     for (const [inst, tasks] of stops)
       this.o.send(inst, { k: 'evict', token: this.token, tasks, why: `room for ${w.job}` });
@@ -977,17 +1097,6 @@
   // ---- fleet ----------------------------------------------------------------------------------------
 
   private policyInput(): PolicyInput {
-    let services = 0;
-    let serviceCpus = 0;
-    let batch = 0;
-    for (const m of this.machines.values())
-      for (const e of m.entries.values()) {
-        if (!takesRoom(e)) continue;
-        if (e.service) {
-          services++;
-          serviceCpus += e.cpus;
-        } else batch++;
-      }
     let queued = 0;
     let queuedCpus = 0;
     for (const l of this.wants.values())
@@ -997,11 +1106,11 @@
       }
     const boots = this.o.types().map((t) => t.bootS);
     return {
-      services,
-      service_cpus: serviceCpus,
+      services: this.total.services,
+      service_cpus: this.total.serviceCpus,
       queued,
       queued_cpus: queuedCpus,
-      batch_running: batch,
+      batch_running: this.total.batchTasks,
       machines: this.machines.size,
       report_s: this.o.workers.reportS,
       lease_s: this.o.workers.leaseS,
@@ -1049,7 +1158,7 @@
   private scale(now: number, left: { want: Want; count: number }[]): void {
     const types = this.o.types();
     if (types.length === 0 || !this.o.entitled()) return;
-    const byName = new Map(types.map((t) => [t.name, t]));
+    const byName = this.types;
     const p = this.policyNow;
     const coming: Room[] = [];
     for (const m of this.machines.values()) {
@@ -1061,7 +1170,7 @@
       const t = byName.get(r.type);
       if (t) for (let k = 0; k < r.n; k++) coming.push(emptyRoom(t, r.zone, r.spot, ''));
     }
-    const scarce = this.scarceZone();
+    const scarce = this.scarce;
     // The reserve may lie in room that lower work uses now and would be stopped for.
     const rooms = this.reserveRooms(now);
     const phantom = this.reserve()
@@ -1082,9 +1191,9 @@
         now,
         amortizeS: p.amortize_s,
         scarceZone: scarce,
-        maxRentals: 24,
+        maxCalls: Math.max(2, Math.floor(this.o.cloudRps)),
       });
-      for (const r of plan) this.rent({ ...r, n: Math.min(50, r.n) });
+      for (const r of plan) this.rent(r);
     }
     this.returnIdle(now, left);
   }
@@ -1093,11 +1202,13 @@
   private afterWaiting(left: { want: Want; count: number }[], now: number): { want: Want; count: number }[] {
     let soon = 0;
     const limit = this.policyNow.patience_s;
-    for (const m of this.machines.values())
+    for (const m of this.machines.values()) {
+      if (m.sum.batchTasks === 0) continue;
       for (const e of m.entries.values()) {
         if (e.service || !takesRoom(e) || e.estimateS <= 0 || e.listed?.phase !== 'running') continue;
         if (e.estimateS - (now - e.since) / 1000 < limit) soon += e.cpus;
       }
+    }
     const out: { want: Want; count: number }[] = [];
     for (const l of left) {
       if (l.want.service || l.want.whole || l.want.cpus <= 0) {
@@ -1111,30 +1222,36 @@
     return out;
   }
 
+  /** Room that services would find if lower work were stopped for them. */
   private reserveRooms(now: number): Room[] {
-    const rooms = this.rooms(now);
-    for (const [name, r] of rooms) {
-      const m = this.machines.get(name) as Machine;
-      for (const e of m.entries.values()) {
-        if (e.service || e.rank === 0 || !takesRoom(e)) continue;
-        r.cpus += e.cpus;
-        r.gpus += e.gpus;
-        r.mem += e.mem;
-      }
+    this.refresh();
+    const out: Room[] = [];
+    for (const m of this.machines.values()) {
+      const b = m.sum.batch;
+      if (m.sum.free.cpus + b.cpus <= 1e-9 || !this.usable(m, now)) continue;
+      const r = this.roomOf(m, now);
+      if (!r) continue;
+      r.cpus += b.cpus;
+      r.gpus += b.gpus;
+      r.mem += b.mem;
+      out.push(r);
     }
-    return [...rooms.values()];
+    return out;
   }
 
   private returnIdle(now: number, left: { want: Want; count: number }[]): void {
     if (!this.allSynced() || now - this.startedAt < 5000) return;
-    const types = new Map(this.o.types().map((t) => [t.name, t]));
     const input = this.policyInput();
     const idleMs = new Map(
-      [...types.values()].map((t) => [t.name, this.o.policy({ ...input, boot_s: t.bootS }).idle_s * 1000]),
+      [...this.types.values()].map((t) => [
+        t.name,
+        this.o.policy({ ...input, boot_s: t.bootS }).idle_s * 1000,
+      ]),
     );
+    const idle = new Map<string, Machine>();
     for (const m of this.machines.values()) {
       if (m.removing) continue;
-      const t = types.get(m.type);
+      const t = this.types.get(m.type);
       if (!m.up) {
         const patience = (t?.bootS ?? 30) * 1000 * this.policyNow.boot_patience;
         // Up under an earlier keeper and not heard by this one: behind a cut, or on its way here.
@@ -1154,35 +1271,27 @@
         this.remove(m, 'empty, and not used any more');
         continue;
       }
-      if (now - m.idleSince < (idleMs.get(m.type) ?? 60000)) continue;
-      if (
-        left.some(
-          (l) =>
-            t &&
-            allowed(emptyRoom(t, m.zone, m.spot, m.name), l.want) &&
-            l.want.cpus <= t.cpus &&
-            l.want.mem <= t.mem,
-        )
-      )
-        continue;
-      // Not if the reserve needs it.
-      const rooms = this.reserveRooms(now).filter((r) => r.name !== m.name);
-      const scarce = this.scarceZone();
-      const without = this.reserve().reduce((s, x) => s + fill(rooms, x.want, x.count, scarce, () => {}), 0);
-      const all = this.reserveRooms(now);
-      const withIt = this.reserve().reduce((s, x) => s + fill(all, x.want, x.count, scarce, () => {}), 0);
-      if (without > withIt) continue;
-      if (
-        !m.spot &&
-        this.coldImages(
-          this.reserveRooms(now).filter((r) => r.name !== m.name),
-          now,
-        ) > this.coldImages(this.reserveRooms(now), now)
-      )
-        continue;
-      this.remove(m, 'idle');
-      return;
+      if (now - m.idleSince >= (idleMs.get(m.type) ?? 60000)) idle.set(m.name, m);
+    }
+    if (idle.size === 0) return;
+    for (const m of idle.values()) {
+      const t = this.types.get(m.type);
+      const r = t ? emptyRoom(t, m.zone, m.spot, m.name) : null;
+      if (r && left.some((l) => fits(r, l.want) && allowed(r, l.want))) idle.delete(m.name);
     }
+    // The reserve takes idle machines last; those that it needs all the same are kept.
+    const rooms = this.reserveRooms(now);
+    for (const r of rooms) if (idle.has(r.name)) r.penalty += 1000;
+    const keep = (r: Room) => void idle.delete(r.name);
+    const plain = rooms.map((r) => ({ ...r }));
+    for (const x of this.reserve()) fill(rooms, x.want, x.count, this.scarce, keep);
+    for (const s of this.serviceShapes.values()) {
+      if (now - s.at > 600000) continue;
+      const warm = plain.filter((r) => !r.spot && r.images?.has(s.want.image) && fits(r, s.want));
+      if (warm.some((r) => !idle.has(r.name))) continue;
+      if (warm[0]) keep(warm[0]);
+    }
+    for (const m of idle.values()) this.remove(m, 'idle');
   }
 
   /** Messages may be lost with a connection: who has not told all it holds is asked again. */
@@ -1198,7 +1307,10 @@
   private forgetEvictions(now: number): void {
     for (const m of this.machines.values())
       for (const e of m.entries.values())
-        if (e.evicting > 0 && e.want === 'run' && now - e.evicting > 5000) e.evicting = 0;
+        if (e.evicting > 0 && e.want === 'run' && now - e.evicting > 5000) {
+          e.evicting = 0;
+          this.touch(m);
+        }
   }
 
   /**
@@ -1210,35 +1322,34 @@
       return;
     this.nextMove = now + 3000;
     for (const wants of this.wants.values()) if (wants.some((w) => w.service)) return;
-    const types = new Map(this.o.types().map((t) => [t.name, t]));
-    const scarce = this.scarceZone();
     const all: { m: Machine; moves: Entry[]; gain: number }[] = [];
     for (const m of this.machines.values()) {
       if (m.leaving) {
         if (m.entries.size > 0) return;
         continue;
       }
-      const t = types.get(m.type);
-      if (!t || m.spot || !m.up || m.removing || m.retired || now - m.heardAt > 8000) continue;
+      const t = this.types.get(m.type);
+      if (!t || m.spot || m.sum.services === 0 || m.sum.free.cpus <= 1e-9 || !this.usable(m, now)) continue;
       const moves = [...m.entries.values()].filter((e) => e.service && takesRoom(e));
-      if (moves.length === 0) continue;
       if (moves.some((e) => e.want !== 'run' || e.listed?.phase !== 'running' || now - e.since < 35000))
         continue;
       all.push({ m, moves, gain: t.price / moves.length });
     }
     all.sort((a, b) => b.gain - a.gain);
-    for (const { m, moves } of all) {
-      const rooms = [...this.rooms(now).values()].filter((r) => r.name !== m.name && !r.spot);
-      const fits = moves.every((e) => {
+    const free = this.rooms(now).filter((r) => !r.spot);
+    const cold = this.coldImages(free, now);
+    for (const { m, moves } of all.slice(0, MOST_TRIES)) {
+      const rooms = free.filter((r) => r.name !== m.name).map((r) => ({ ...r }));
+      const fit = moves.every((e) => {
         const here = rooms.filter(
           (r) => r.zone === m.zone && r.images?.has(e.image) && (!e.types || e.types.includes(r.type)),
         );
         const w: Want = { ...this.wantOf(e, m), zone: m.zone, zoneRoom: {} };
         return fill(here, w, 1, null, () => {}) === 0;
       });
-      if (!fits) continue;
-      if (this.reserve().some((x) => fill(rooms, x.want, x.count, scarce, () => {}) > 0)) continue;
-      if (this.coldImages(rooms, now) > this.coldImages([...this.rooms(now).values()], now)) continue;
+      if (!fit) continue;
+      if (this.reserve().some((x) => fill(rooms, x.want, x.count, this.scarce, () => {}) > 0)) continue;
+      if (this.coldImages(rooms, now) > cold) continue;
       m.leaving = true;
       this.o.log.info(
         { machine: m.name, type: m.type, replicas: moves.length },
@@ -1253,6 +1364,8 @@
     const stops = new Map<string, { job: string; idx: number; attempt: number }[]>();
     for (const e of entries) {
       e.evicting = now;
+      const m = this.machines.get(e.machine);
+      if (m) this.touch(m);
       const inst = this.owners.get(e.team)?.inst;
       if (!inst) continue;
       const l = stops.get(inst) ?? [];
@@ -1305,7 +1418,8 @@
     }
     const many = silent.length > Math.max(2, counted * this.policyNow.silent_share);
     if (!many || heard >= silent.length) {
-      for (const m of silent) if (!this.waitFor(m, now)) this.remove(m, 'silent');
+      const rooms = this.reserveRooms(now);
+      for (const m of silent) if (!this.waitFor(m, rooms, now)) this.remove(m, 'silent');
       return;
     }
     if (this.suspectSince === 0) {
@@ -1330,13 +1444,12 @@
    * An ordinary silent machine is left its lease when the replicas on it would find no room elsewhere: they may
    * well be running behind a cut, and deleting them frees nothing. Room for them is rented meanwhile.
    */
-  private waitFor(m: Machine, now: number): boolean {
+  private waitFor(m: Machine, rooms: Room[], now: number): boolean {
     this.rescue.delete(m.name);
     if (m.spot || now - Math.max(m.heardAt, this.startedAt) > this.o.workers.leaseS * 1000) return false;
     const wants = [...m.entries.values()]
       .filter((e) => e.service && takesRoom(e))
       .map((e) => this.wantOf(e, m));
-    const rooms = this.reserveRooms(now).filter((r) => r.name !== m.name);
     const without = wants.filter((w) => fill(rooms, w, 1, null, () => {}) > 0);
     if (without.length === 0) return false;
     this.rescue.set(m.name, without);
@@ -1345,7 +1458,7 @@
 
   /** A running replica as a want of its own, in its zone if that zone is the scarce one. */
   private wantOf(e: Entry, m: Machine): Want {
-    const tied = this.scarceZone() === m.zone;
+    const tied = this.scarce === m.zone;
     return { ...this.baseWant(e), zone: tied ? m.zone : null, zoneRoom: tied ? {} : null };
   }
 
@@ -1374,6 +1487,7 @@
       zoneCap: 1,
       avoid: [],
       near: '',
+      seen: 0,
     };
   }
 
@@ -1394,6 +1508,8 @@
     const now = this.o.clock.now();
     for (const [inst, seen] of this.outbox) this.o.send(inst, { k: 'seen', token: this.token, seen });
     this.outbox.clear();
+    for (const m of this.toDirect) this.direct(m);
+    this.toDirect.clear();
     if (!this.dirty) return;
     if (now < this.nextPass) {
       if (!this.passTimer) {
@@ -1406,19 +1522,22 @@
       return;
     }
     this.dirty = false;
-    this.nextPass = now + 30;
     const left = this.pass(now);
     if (now >= this.nextScale) {
       this.nextScale = now + 1000;
       this.scale(now, left);
     }
-    for (const m of this.machines.values()) if (m.entries.size > 0) this.direct(m);
     this.pollRemove(now);
+    // A pass that takes long is made less often: what comes meanwhile shares the next one.
+    const after = this.o.clock.now();
+    this.nextPass = after + Math.min(500, Math.max(30, (after - now) * 5));
   }
 
   tick(): void {
     const now = this.o.clock.now();
+    this.refresh();
     this.policyNow = this.o.policy(this.policyInput());
+    for (const m of this.machines.values()) if (m.entries.size > 0) this.toDirect.add(m);
     this.pollList(now);
     this.watchSilence(now);
     this.watchDoubt(now);
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -57,6 +57,78 @@
   reserved: { job: string; rank: number; until: number } | null;
   runs: number;
   slow: number;
+  /** What its entries come to, kept by the keeper's `refresh`. */
+  sum: Sum;
+}
+
+export interface Amount {
+  cpus: number;
+  gpus: number;
+  mem: number;
+}
+
+export interface Sum {
+  /** Its type was known: `free` means something. */
+  known: boolean;
+  free: Amount;
+  /** Taken by arrays and gangs, which may be stopped for services. */
+  batch: Amount;
+  /** Taken by tasks that are being stopped. */
+  stopping: Amount;
+  teams: { team: string; cpus: number; gpus: number }[];
+  services: number;
+  serviceCpus: number;
+  batchTasks: number;
+  /** Running entries by rank. */
+  ranks: [number, number, number, number];
+}
+
+export function emptySum(): Sum {
+  const none = () => ({ cpus: 0, gpus: 0, mem: 0 });
+  return {
+    known: false,
+    free: none(),
+    batch: none(),
+    stopping: none(),
+    teams: [],
+    services: 0,
+    serviceCpus: 0,
+    batchTasks: 0,
+    ranks: [0, 0, 0, 0],
+  };
+}
+
+function add(a: Amount, e: Amount, sign = 1): void {
+  a.cpus += sign * e.cpus;
+  a.gpus += sign * e.gpus;
+  a.mem += sign * e.mem;
+}
+
+export function sumUp(m: Machine, t: Amount | undefined): Sum {
+  const s = emptySum();
+  if (t) {
+    s.known = true;
+    s.free = { cpus: t.cpus, gpus: t.gpus, mem: t.mem };
+  }
+  for (const e of m.entries.values()) {
+    if (!takesRoom(e)) continue;
+    add(s.free, e, -1);
+    if (e.want === 'stop' || e.evicting) add(s.stopping, e);
+    const u = s.teams.find((x) => x.team === e.team);
+    if (u) {
+      u.cpus += e.cpus;
+      u.gpus += e.gpus;
+    } else s.teams.push({ team: e.team, cpus: e.cpus, gpus: e.gpus });
+    if (e.service) {
+      s.services++;
+      s.serviceCpus += e.cpus;
+    } else {
+      s.batchTasks++;
+      if (e.rank > 0) add(s.batch, e);
+    }
+    if (e.want === 'run') s.ranks[e.rank]++;
+  }
+  return s;
 }
 
 export function newMachine(name: string, now: number): Machine {
@@ -93,6 +165,7 @@
     reserved: null,
     runs: 0,
     slow: 0,
+    sum: emptySum(),
   };
 }
 
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -55,6 +55,8 @@
   chunkMarks: Map<number, number>;
   dirtyChunks: Set<number>;
   dirtyCount: boolean;
+  /** When what is dirty should be written; Infinity: nothing is. */
+  dueAt: number;
   /** In the transaction now in flight. */
   busy: boolean;
   /** Stored state is being read again; nothing is decided meanwhile. */
@@ -80,6 +82,7 @@
   teams: Map<string, Team>;
   valueKb: number;
   txnOps: number;
+  writeRps: number;
   /** Most tasks of one job asked for at a time: the pace of a large fan-out. */
   batch: number;
   noticeGraceS: number;
@@ -93,13 +96,24 @@
   wake(): void;
 }
 
+/** Most placements told in one message. */
+const SYNC_PART = 400;
+
 /** Holds the teams parted to this controller: release, queue, limits, one attempt per task, counters. */
 export class Owner {
   private readonly jobs = new Map<string, Job>();
   private readonly teams = new Map<string, { gen: number; loaded: boolean; loading: boolean }>();
+  /** What unsettled placements take, by team, and how many of them are of arrays and gangs. */
+  private readonly used = new Map<string, { cpus: number; gpus: number; batch: number }>();
+  /** Jobs with something to write, or over and not yet filed. */
+  private readonly dirty = new Set<Job>();
+  private flushTimer = 0;
+  private wantsAt = 0;
+  /** The newest grant taken in from this keeper. */
+  private lastGrant = 0;
+  private syncs = 0;
   /** Aims on finishing, by class, shortest first. */
   private readonly finish = new Map<string, number[]>();
-  private readonly batchPlaced = new Map<string, number>();
   private readonly archived = new Set<string>();
   private readonly chunk: number;
   private readonly window: number;
@@ -108,7 +122,7 @@
   private needSync = false;
   private wantsDirty = false;
   private lastWants = '';
-  private txnBusy = false;
+  private readonly txnBusy = { work: false, tidy: false };
   private retryFlushAt = 0;
   private outHeld: Held[] = [];
   private outDrop: { tasks: { machine: string; key: string }[]; grants: number[] } = {
@@ -143,7 +157,7 @@
     for (const [name, t] of this.teams) {
       if (now.get(name) === t.gen) continue;
       this.teams.delete(name);
-      for (const [id, j] of this.jobs) if (j.spec.team === name) this.jobs.delete(id);
+      for (const j of [...this.jobs.values()]) if (j.spec.team === name) this.letGo(j);
       this.o.log.debug({ team: name }, 'team let go');
       this.needSync = true;
     }
@@ -155,10 +169,52 @@
     this.o.wake();
   }
 
+  private letGo(j: Job): void {
+    for (let n = j.placed.size; n > 0; n--) this.use(j, -1);
+    this.jobs.delete(j.spec.id);
+    this.dirty.delete(j);
+  }
+
+  private use(j: Job, sign: 1 | -1): void {
+    const s = j.spec;
+    let u = this.used.get(s.team);
+    if (!u) {
+      u = { cpus: 0, gpus: 0, batch: 0 };
+      this.used.set(s.team, u);
+    }
+    u.cpus += sign * s.cpus;
+    u.gpus += sign * s.gpus;
+    if (s.shape !== 'service') u.batch += sign;
+  }
+
+  private putPlaced(j: Job, p: Placement): void {
+    j.placed.set(p.idx, p);
+    this.use(j, 1);
+  }
+
+  private dropPlaced(j: Job, p: Placement): void {
+    if (j.placed.delete(p.idx)) this.use(j, -1);
+  }
+
+  /** Something of a job is to be written within `ms`. */
+  private mark(j: Job, ms: number): void {
+    this.dirty.add(j);
+    j.dueAt = Math.min(j.dueAt, this.o.clock.now() + ms);
+  }
+
+  /**
+   * How long a count that fills nothing may wait for others of its job: longer when many jobs have such, so that they
+   * take a part of the writes only.
+   */
+  private lazyMs(): number {
+    return Math.min(5000, Math.max(1000, (this.dirty.size / (this.o.writeRps * 0.2)) * 1000));
+  }
+
   /** A keeper with a higher token is heeded from now on; one with a lower token never again. */
   setKeeper(token: number): void {
     if (token <= this.token) return;
     this.token = token;
+    this.lastGrant = 0;
     this.synced = false;
     this.needSync = true;
     this.o.wake();
@@ -221,6 +277,7 @@
     const spec = s.spec;
     if (!spec || s.order === 0) return;
     const old = this.jobs.get(spec.id);
+    if (old) this.letGo(old);
     const j: Job = {
       spec,
       order: s.order,
@@ -234,6 +291,7 @@
       chunkMarks: new Map(),
       dirtyChunks: new Set(),
       dirtyCount: false,
+      dueAt: Number.POSITIVE_INFINITY,
       busy: false,
       reloading: false,
       holdUntil: old?.holdUntil ?? 0,
@@ -250,7 +308,7 @@
         const idx = Number(k);
         j.attempts.set(idx, p[0]);
         if (p.length < 4 || j.count.has(idx)) continue;
-        j.placed.set(idx, {
+        this.putPlaced(j, {
           idx,
           attempt: p[0],
           machine: p[1] as string,
@@ -269,6 +327,7 @@
     for (const p of j.placed.values()) if (p.running) j.shownRunning++;
     j.fan.skipTo((i) => j.count.has(i));
     this.jobs.set(spec.id, j);
+    if (this.isOver(j)) this.mark(j, 0);
   }
 
   private reload(j: Job): void {
@@ -304,7 +363,8 @@
   }
 
   private forget(id: string): void {
-    this.jobs.delete(id);
+    const j = this.jobs.get(id);
+    if (j) this.letGo(j);
     this.archived.add(id);
     if (this.archived.size > 5000) for (const x of [...this.archived].slice(0, 1000)) this.archived.delete(x);
     this.wantsDirty = true;
@@ -348,9 +408,10 @@
     for (const p of [...j.placed.values()]) {
       if (!p.stored && !j.busy) {
         this.outDrop.grants.push(p.grant);
-        j.placed.delete(p.idx);
+        this.dropPlaced(j, p);
       } else this.stop(j, p, 0);
     }
+    this.mark(j, 0);
     this.wantsDirty = true;
     this.o.wake();
   }
@@ -384,6 +445,7 @@
   private granted(grants: Grant[]): void {
     const byJob = new Map<string, Grant[]>();
     for (const g of grants) {
+      this.lastGrant = Math.max(this.lastGrant, g.id);
       const l = byJob.get(g.job);
       if (l) l.push(g);
       else byJob.set(g.job, [g]);
@@ -410,7 +472,7 @@
     );
     if (idx < 0) return false;
     const attempt = j.spec.shape === 'gang' ? this.gangAttempt(j) : (j.attempts.get(idx) ?? 0) + 1;
-    j.placed.set(idx, {
+    this.putPlaced(j, {
       idx,
       attempt,
       machine: g.machine,
@@ -424,6 +486,7 @@
       listed: false,
     });
     j.dirtyChunks.add(Math.floor(idx / this.chunk));
+    this.mark(j, 0);
     return true;
   }
 
@@ -447,15 +510,8 @@
     return !s.apart || there < Math.ceil(s.tasks / 2);
   }
 
-  private usage(team: string): { cpus: number; gpus: number } {
-    let cpus = 0;
-    let gpus = 0;
-    for (const j of this.jobs.values()) {
-      if (j.spec.team !== team) continue;
-      cpus += j.placed.size * j.spec.cpus;
-      gpus += j.placed.size * j.spec.gpus;
-    }
-    return { cpus, gpus };
+  private usage(team: string): { cpus: number; gpus: number; batch: number } {
+    return this.used.get(team) ?? { cpus: 0, gpus: 0, batch: 0 };
   }
 
   private roomUnderLimit(team: string, s: JobSpec): number {
@@ -490,6 +546,7 @@
         if (running && j.storedRunning === 0) {
           j.storedRunning = 1;
           j.dirtyCount = true;
+          this.mark(j, this.lazyMs());
         }
         if (running) this.o.log.debug({ job: s.job, idx: s.idx, machine: s.machine }, 'task runs');
       }
@@ -504,6 +561,7 @@
       if (j.count.add(p.idx)) j.dirtyCount = true;
       // "When one is done, all are": the rest of a gang is counted with it, and settled as it is reported.
       if (j.spec.shape === 'gang') for (let i = 0; i < j.spec.tasks; i++) j.count.add(i);
+      this.mark(j, j.count.full ? 0 : this.lazyMs());
       j.failures = 0;
       j.near = p.machine;
     } else if (s.why === 'error' || s.why === 'unknown') {
@@ -531,17 +589,21 @@
     if (!j) return;
     if (!j.count.has(s.idx) && (j.attempts.get(s.idx) ?? 0) <= s.attempt && j.placed.has(s.idx)) return;
     if (j.busy || j.dirtyCount || j.dirtyChunks.has(Math.floor(s.idx / this.chunk))) return;
+    if (j.toReap.some((r) => r.p.idx === s.idx)) return;
     this.outHeld.push(this.held(j, s.idx, s.attempt, s.machine, 0, 'reap', 0, 0));
   }
 
   private settle(j: Job, p: Placement, why: string): void {
     if (p.running) j.shownRunning--;
     p.settled = true;
-    j.placed.delete(p.idx);
+    this.dropPlaced(j, p);
     j.attempts.set(p.idx, Math.max(p.attempt, j.attempts.get(p.idx) ?? 0));
-    j.dirtyChunks.add(Math.floor(p.idx / this.chunk));
     j.toReap.push({ p, listed: why !== 'gone' });
+    if (this.isOver(j)) this.mark(j, 0);
+    // What the counter holds is settled by it; its old placement needs no write of its own.
     if (!j.count.has(p.idx)) {
+      j.dirtyChunks.add(Math.floor(p.idx / this.chunk));
+      this.mark(j, this.lazyMs());
       j.fan.giveBack(p.idx);
       if (j.spec.shape === 'gang')
         for (const q of j.placed.values()) if (q.want === 'run') this.stopGangMate(j, q);
@@ -610,10 +672,18 @@
 
   flush(): void {
     this.loadTeams();
-    this.write();
+    this.write('work');
+    this.write('tidy');
     this.tell();
   }
 
+  private wakeAt(at: number): void {
+    const now = this.o.clock.now();
+    if (!Number.isFinite(at) || (this.flushTimer > now && this.flushTimer <= at)) return;
+    this.flushTimer = at;
+    this.o.clock.after(Math.max(1, at - now), () => this.o.wake());
+  }
+
   private tell(): void {
     if (this.token === 0) return;
     const base = { token: this.token, inst: this.o.inst };
@@ -634,7 +704,20 @@
       const gens: Record<string, number> = {};
       for (const [name, t] of this.teams) if (t.loaded) gens[name] = t.gen;
       this.synced = false;
-      this.o.send({ k: 'sync', ...base, gens, held, wants: this.wants() });
+      // In parts, so that no message is large; the keeper takes them as one when it has the last.
+      const sync = ++this.syncs;
+      const parts = Math.max(1, Math.ceil(held.length / SYNC_PART));
+      for (let i = 0; i < parts; i++)
+        this.o.send({
+          k: 'sync',
+          ...base,
+          sync,
+          parts,
+          part: i,
+          gens,
+          held: held.slice(i * SYNC_PART, (i + 1) * SYNC_PART),
+          wants: i === parts - 1 ? this.wants() : [],
+        });
       return;
     }
     if (!this.synced) return;
@@ -647,8 +730,12 @@
       this.outDrop = { tasks: [], grants: [] };
     }
     if (this.wantsDirty) {
+      const now = this.o.clock.now();
+      if (now < this.wantsAt) return this.wakeAt(this.wantsAt);
       this.wantsDirty = false;
       const wants = this.wants();
+      // A long list is told less often: it costs both sides, and few places come free between two tellings.
+      this.wantsAt = now + Math.min(300, 10 + wants.length * 3);
       const text = JSON.stringify(wants);
       if (text === this.lastWants) return;
       this.lastWants = text;
@@ -662,7 +749,8 @@
       if (j.busy) continue;
       for (const p of [...j.placed.values()]) {
         if (p.stored) continue;
-        j.placed.delete(p.idx);
+        this.dropPlaced(j, p);
+        this.mark(j, 0);
         j.fan.giveBack(p.idx);
       }
     }
@@ -670,11 +758,9 @@
 
   private wants(): Want[] {
     const now = this.o.clock.now();
-    this.batchPlaced.clear();
-    for (const j of this.jobs.values())
-      if (j.spec.shape !== 'service')
-        this.batchPlaced.set(j.spec.team, (this.batchPlaced.get(j.spec.team) ?? 0) + j.placed.size);
-    const jobs = [...this.jobs.values()].filter((j) => !j.cancelled && !j.reloading && !j.count.full);
+    const jobs = [...this.jobs.values()].filter(
+      (j) => !j.cancelled && !j.reloading && j.count.n + j.placed.size < j.spec.tasks,
+    );
     const key = new Map(jobs.map((j) => [j, { stage: this.stage(j), at: this.queuePlace(j) }]));
     jobs.sort((a, b) => {
       const x = key.get(a)!;
@@ -696,7 +782,7 @@
       const s = j.spec;
       const l = left.get(s.team);
       if (!l || j.holdUntil > now) continue;
-      let open = s.tasks - j.count.n - this.uncountedPlaced(j);
+      let open = s.tasks - j.count.n - j.placed.size;
       if (open <= 0) continue;
       if (s.shape === 'gang' && j.placed.size > 0) continue;
       let fit = Number.POSITIVE_INFINITY;
@@ -734,15 +820,7 @@
   private queuePlace(j: Job): number {
     const s = j.spec;
     if (s.shape === 'service') return s.at;
-    return (
-      s.at + (2000 * s.estimateS * (s.tasks - j.count.n)) / Math.max(10, this.batchPlaced.get(s.team) ?? 0)
-    );
-  }
-
-  private uncountedPlaced(j: Job): number {
-    let n = 0;
-    for (const i of j.placed.keys()) if (!j.count.has(i)) n++;
-    return n;
+    return s.at + (2000 * s.estimateS * (s.tasks - j.count.n)) / Math.max(10, this.usage(s.team).batch);
   }
 
   private want(j: Job, open: number, now: number): Want {
@@ -785,30 +863,48 @@
       zoneCap: cap,
       avoid,
       near: j.near,
+      seen: this.lastGrant,
     };
   }
 
   // ---- writing ----------------------------------------------------------------------------------
 
-  private write(): void {
-    if (this.txnBusy || this.o.clock.now() < this.retryFlushAt) return;
+  /**
+   * One transaction of each kind at a time: placements and counters don't wait behind tidying up, and what comes
+   * meanwhile shares the next one.
+   */
+  private write(kind: 'work' | 'tidy'): void {
+    const now = this.o.clock.now();
+    if (this.txnBusy[kind] || this.dirty.size === 0) return;
+    if (now < this.retryFlushAt) return this.wakeAt(this.retryFlushAt);
     const txn: Txn = { when: [], then: [] };
     const after: ((mark: number) => void)[] = [];
     const undo: (() => void)[] = [];
     const part: Job[] = [];
     const teams = new Set<string>();
     let bytes = 0;
-    const jobs = [...this.jobs.values()].filter((j) => !j.reloading && !j.busy);
-    // Placements and counters before tidying up.
-    jobs.sort((a, b) => a.spec.rank - b.spec.rank || a.order - b.order);
+    const jobs: Job[] = [];
+    let next = Number.POSITIVE_INFINITY;
+    for (const j of this.dirty) {
+      if (j.reloading || j.busy) continue;
+      const over = this.isOver(j);
+      if (!over && !j.dirtyCount && j.dirtyChunks.size === 0) {
+        j.dueAt = Number.POSITIVE_INFINITY;
+        this.dirty.delete(j);
+      } else if (over === (kind === 'tidy')) {
+        if (j.dueAt <= now) jobs.push(j);
+        else next = Math.min(next, j.dueAt);
+      }
+    }
+    if (jobs.length === 0) return this.wakeAt(next);
+    jobs.sort((a, b) => a.spec.rank - b.spec.rank || a.dueAt - b.dueAt || a.order - b.order);
     for (const j of jobs) {
       if (txn.then.length >= this.o.txnOps || bytes > 40000) break;
-      const over = this.isOver(j);
-      if (!over && !j.dirtyCount && j.dirtyChunks.size === 0) continue;
       const ops: StateOp[] = [];
-      const commit = over
-        ? this.archiveOps(j, this.o.txnOps - txn.then.length, ops)
-        : this.jobOps(j, this.o.txnOps - txn.then.length, ops);
+      const commit =
+        kind === 'tidy'
+          ? this.archiveOps(j, this.o.txnOps - txn.then.length, ops)
+          : this.jobOps(j, this.o.txnOps - txn.then.length, ops);
       if (!commit) continue;
       for (const op of ops) {
         bytes += JSON.stringify(op).length;
@@ -827,12 +923,18 @@
     }
     if (part.length === 0) return;
     for (const t of teams) txn.when.push({ key: `sys/team/${t}`, version: this.teams.get(t)?.gen ?? -1 });
-    for (const j of part) j.busy = true;
-    this.txnBusy = true;
-    const urgency = part.some((j) => !this.isOver(j)) ? 1 : 3;
-    this.o.state.txn(txn, urgency, (r) => {
-      this.txnBusy = false;
-      for (const j of part) j.busy = false;
+    for (const j of part) {
+      j.busy = true;
+      j.dueAt = Number.POSITIVE_INFINITY;
+    }
+    this.txnBusy[kind] = true;
+    this.o.state.txn(txn, kind === 'tidy' ? 3 : 1, (r) => {
+      this.txnBusy[kind] = false;
+      for (const j of part) {
+        j.busy = false;
+        // Looked at again by the next write, and let go there if nothing is left to store.
+        if (this.jobs.get(j.spec.id) === j) this.mark(j, j.dirtyCount && !j.count.full ? this.lazyMs() : 0);
+      }
       if (r.ok) {
         for (const f of after) f(r.value);
       } else if (r.kind === 'refused') {
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -94,11 +94,14 @@
   while (left > 0) {
     const r = best(rooms, v, scarceZone);
     if (!r) break;
-    take(r, w);
-    if (zoneRoom) zoneRoom[r.zone] = (zoneRoom[r.zone] ?? w.zoneCap) - 1;
     if (v.together && v.zone === null) v.zone = r.zone;
-    each(r);
-    left--;
+    // The fuller a machine the better it ranks: the best one stays the best while it has room.
+    do {
+      take(r, w);
+      if (zoneRoom) zoneRoom[r.zone] = (zoneRoom[r.zone] ?? w.zoneCap) - 1;
+      each(r);
+      left--;
+    } while (left > 0 && fits(r, w) && allowed(r, v));
   }
   return left;
 }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -120,6 +120,8 @@
   /** Machines on which this job failed lately. */
   avoid: string[];
   near: string;
+  /** The newest grant that its owner had taken in: what it granted is no longer wanted. */
+  seen: number;
 }
 
 /** An unsettled placement as its owner tells it to the keeper. */
@@ -166,7 +168,18 @@
 
 /** Owner to keeper. `gens` names the version of each team record the sender acts under. */
 export type OwnerMsg =
-  | { k: 'sync'; token: number; inst: string; gens: Record<string, number>; held: Held[]; wants: Want[] }
+  | {
+      k: 'sync';
+      token: number;
+      inst: string;
+      /** Number of this telling, and which of its parts this is. */
+      sync: number;
+      parts: number;
+      part: number;
+      gens: Record<string, number>;
+      held: Held[];
+      wants: Want[];
+    }
   | { k: 'wants'; token: number; inst: string; wants: Want[] }
   | { k: 'held'; token: number; inst: string; held: Held[] }
   | { k: 'drop'; token: number; inst: string; tasks: { machine: string; key: string }[]; grants: number[] };
--- a/src/io/mesh.ts
+++ b/src/io/mesh.ts
@@ -3,7 +3,7 @@
 import type { MeshMsg, MeshPort } from '../core/controller.js';
 import type { Logger } from '../core/types.js';
 
-const MOST_WAITING = 1 << 20;
+const MOST_WAITING = 4 << 20;
 
 interface Peer {
   host: string;
@@ -39,7 +39,8 @@
 /** Connections among controllers: each dials every sibling and sends on what it dialled. */
 export class Mesh implements MeshPort {
   private readonly peers = new Map<string, Peer>();
-  private readonly packr = new Packr({ useRecords: false });
+  /** Records: the names of fields go once into a message, however many placements it lists. */
+  private readonly packr = new Packr();
 
   constructor(
     bind: string,
@@ -62,7 +63,7 @@
   private accept(s: net.Socket): void {
     s.setNoDelay(true);
     s.setTimeout(15000, () => s.destroy());
-    const stream = new UnpackrStream({ useRecords: false });
+    const stream = new UnpackrStream();
     stream.on('data', (v: unknown) => {
       if (isMeshMsg(v)) this.got(v);
       else this.log.debug({}, 'mesh message dropped');
--- a/src/io/state.ts
+++ b/src/io/state.ts
@@ -120,7 +120,7 @@
     const q = `prefix=${encodeURIComponent(prefix)}&since=${since}&wait_ms=${waitMs}`;
     this.pace.enter(1, 0, (ok) => {
       if (!ok) return cb({ ok: false, kind: 'refused' });
-      this.watches.call('GET', `/watch?${q}`, undefined, waitMs + 3000, (r) => {
+      this.watches.call('GET', `/watch?${q}`, undefined, waitMs === 0 ? DEADLINE_MS : waitMs + 3000, (r) => {
         if (r.status === 429) this.pace.refused();
         if (r.status !== 200) return cb(failure(r));
         const v = readEvents(parse(r.text));
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -59,6 +59,7 @@
     teams: new Map(TEAMS.map((t) => [t.name, t])),
     workers: { reportS: 2, leaseS: 20, cancelS: 40 },
     listLagS: 3,
+    cloudRps: 5,
     objectives: [],
     first: true,
     clock: { now: () => now, wall: () => now, after: () => () => {}, soon: () => {}, random: () => 0 },
@@ -91,7 +92,17 @@
     raise: (why) => raised.push(why),
   });
   k.setOwners(new Map(TEAMS.map((t) => [t.name, { inst: 'o', gen: 1 }])));
-  k.fromOwner({ k: 'sync', token, inst: 'o', gens: { red: 1, blue: 1, free: 1 }, held: [], wants: [] });
+  k.fromOwner({
+    k: 'sync',
+    token,
+    inst: 'o',
+    sync: 1,
+    parts: 1,
+    part: 0,
+    gens: { red: 1, blue: 1, free: 1 },
+    held: [],
+    wants: [],
+  });
   let tally = 0;
   const report = (tasks: TaskReport[], seen = token) =>
     k.report({
@@ -128,7 +139,10 @@
     spread: false,
     grant: 0,
   });
-  const tell = (want: Held['want']) => k.fromOwner({ k: 'held', token, inst: 'o', held: [held(want)] });
+  const tell = (want: Held['want']) => {
+    k.fromOwner({ k: 'held', token, inst: 'o', held: [held(want)] });
+    k.flush();
+  };
   const settled = () => {
     k.flush();
     return said.some((m) => m.k === 'seen' && m.seen.some((s) => s.s === 'settled'));
@@ -231,6 +245,7 @@
     zoneCap: 1,
     avoid: [],
     near: '',
+    seen: 0,
   });
   const r: WorkerReport = {
     machine: 'b1',
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -137,8 +137,9 @@
       peers: this.hosts.filter((h) => h !== host),
       teams: TEAMS,
       workers: { reportS: REPORT_S, leaseS: LEASE_S, cancelS: CANCEL_S },
-      state: { valueKb: LIMITS.valueKb, txnOps: LIMITS.ops },
+      state: { valueKb: LIMITS.valueKb, txnOps: LIMITS.ops, writeRps: 100 },
       listLagS: 3,
+      cloudRps: 5,
       objectives: [
         { kind: 'wait', cls: 'c', withinS: 1 },
         { kind: 'finished', cls: 'c', withinS: 20 },
