--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -415,9 +415,12 @@
     const m = this.machine(r.machine);
     const now = this.o.clock.now();
     const late = r.season < m.season || (r.season === m.season && r.tally <= m.reportTally);
-    m.heardAt = now;
-    m.probeFails = 0;
+    // A late copy proves no life. Of an old report only this stays true for ever: the season it names had begun, and
+    // a task it lists as ended had ended; neither is taken from it where something newer was heard.
     if (late) return [];
+    this.judgeHearing(m, r, now);
+    m.heardAt = now;
+    if (m.deaf === 0) m.probeFails = 0;
     m.reportAt = now;
     const fresh = isNewer(m, r);
     const before = m.reportTally;
@@ -432,6 +435,28 @@
     return cmds;
   }
 
+  /**
+   * A machine whose reports arrive while nothing told to it does looks alive. It shows by what it does not do: its
+   * next report is without the token or the starts of the last answer, or its lease ran out although it was answered.
+   */
+  private judgeHearing(m: Machine, r: WorkerReport, now: number): void {
+    if (m.reportTally < 0) return;
+    let missed = false;
+    let heard = false;
+    if (r.season > m.season) missed = now - m.heardAt < this.o.workers.leaseS * 500;
+    else if (r.token < this.token) missed = true;
+    else
+      for (const e of m.entries.values()) {
+        if (e.want !== 'run' || e.sentWith < 0 || r.tally <= e.sentWith) continue;
+        if (r.tasks.some((t) => t.job === e.job && t.idx === e.idx && t.attempt === e.attempt)) heard = true;
+        else missed = true;
+      }
+    if (missed) {
+      if (m.deaf++ === 0) m.deafSince = now;
+      if (m.deaf === 2) this.o.log.info({ machine: m.name }, 'machine is heard but seems not to hear');
+    } else if (heard || (r.token === this.token && m.token < this.token)) m.deaf = 0;
+  }
+
   private take(m: Machine, r: WorkerReport, asReport: boolean): void {
     const now = this.o.clock.now();
     const known = m.up;
@@ -446,6 +471,7 @@
     m.season = r.season;
     m.tally = r.tally;
     m.token = Math.max(m.token, r.token);
+    if (r.token === this.token) m.confirmed = true;
     m.heardAt = now;
     m.up = true;
     m.leaveAt = r.noticeS === null ? null : now + r.noticeS * 1000;
@@ -644,6 +670,7 @@
       } else {
         if (r.token > this.token) return this.o.deposed(r.token);
         m.probeFails = 0;
+        m.deaf = 0;
         m.heardAt = this.o.clock.now();
         if (r.machine === m.name && isNewer(m, r)) this.take(m, r, false);
       }
@@ -791,6 +818,7 @@
   /** Fit to be given work. A machine not heard of lately gets nothing new. */
   private usable(m: Machine, now: number): boolean {
     if (!m.up || m.removing || m.retired || m.leaving || m.leaveAt !== null || m.probeFails > 0) return false;
+    if (!m.confirmed || m.deaf > 0) return false;
     return now - m.heardAt <= this.quietMs() * 1.6 && !this.strange(m);
   }
 
@@ -1404,7 +1432,10 @@
       if (m.removing || (!m.up && m.entries.size === 0)) continue;
       counted++;
       // Workers need some time to find a new keeper.
-      const quiet = now - Math.max(m.heardAt, this.startedAt + report);
+      // One that is heard but does not hear counts as silent from when that began.
+      const alive = m.deaf >= 2 ? Math.min(m.heardAt, m.deafSince) : m.heardAt;
+      const quiet = now - Math.max(alive, this.startedAt + report);
+      if (m.deaf === 1 && m.addr !== '' && now - m.probeAt > 2000) this.direct(m, true);
       if (quiet < probeAfter) {
         heard++;
         continue;
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -33,6 +33,11 @@
   heardAt: number;
   reportAt: number;
   up: boolean;
+  /** Has shown this keeper's token: what it was heard to say is no late copy from before. */
+  confirmed: boolean;
+  /** Signs in a row that what is told to this machine does not reach it, although it is heard; since when. */
+  deaf: number;
+  deafSince: number;
   rentedAt: number;
   /** The list calls it running, whether or not its worker was heard. */
   listedUp: boolean;
@@ -145,6 +150,9 @@
     heardAt: now,
     reportAt: 0,
     up: false,
+    confirmed: false,
+    deaf: 0,
+    deafSince: 0,
     rentedAt: now,
     listedUp: false,
     leaveAt: null,
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -96,6 +96,9 @@
   wake(): void;
 }
 
+/** A large array stands back so long at most; nobody is kept waiting longer than the second for others' sake. */
+const MOST_BACK_MS = 60000;
+const MOST_KEPT_MS = 120000;
 /** Most placements told in one message. */
 const SYNC_PART = 400;
 
@@ -808,6 +811,7 @@
   private stage(j: Job): number {
     const s = j.spec;
     const wall = this.o.clock.wall();
+    if (this.kept(j, wall)) return 0;
     if (s.deadlineS !== null) return wall + s.estimateS * 1000 <= s.at + s.deadlineS * 1000 ? 0 : 1;
     const aims = this.finish.get(s.cls);
     if (!aims || s.shape === 'service') return 0;
@@ -817,10 +821,19 @@
     return k < 0 ? aims.length : k;
   }
 
+  /** Has been kept waiting so long that it goes before all others of its rank, the oldest first. */
+  private kept(j: Job, wall: number): boolean {
+    const s = j.spec;
+    return s.shape !== 'service' && wall - s.at > MOST_KEPT_MS && j.count.n + j.placed.size < s.tasks;
+  }
+
   private queuePlace(j: Job): number {
     const s = j.spec;
     if (s.shape === 'service') return s.at;
-    return s.at + (2000 * s.estimateS * (s.tasks - j.count.n)) / Math.max(10, this.usage(s.team).batch);
+    // Before all that may still stand back, in release order.
+    if (this.kept(j, this.o.clock.wall())) return s.at - 10 * MOST_BACK_MS;
+    const back = (2000 * s.estimateS * (s.tasks - j.count.n)) / Math.max(10, this.usage(s.team).batch);
+    return s.at + Math.min(MOST_BACK_MS, back);
   }
 
   private want(j: Job, open: number, now: number): Want {
