--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -73,7 +73,9 @@
 
 const COMMANDS_AT_ONCE = 200;
 /** Machines looked at for emptying at a time. */
-const MOST_TRIES = 12;
+const MOST_TRIES = 60;
+/** How far ahead places that come free are counted on. */
+const MOST_PATIENCE_S = 120;
 
 /** The elected leader's part: machines, reports, room. It stores nothing; owners and workers tell it all. */
 export class Keeper {
@@ -1226,26 +1228,43 @@
     this.returnIdle(now, left);
   }
 
-  /** Work that running tasks will make room for soon enough needs no machine. */
+  /**
+   * Work that running tasks will make room for soon enough needs no machine. Places come free as estimates say, each is
+   * taken by the first want that can wait for it, and comes free again when that one's task has run.
+   */
   private afterWaiting(left: { want: Want; count: number }[], now: number): { want: Want; count: number }[] {
-    let soon = 0;
-    const limit = this.policyNow.patience_s;
+    const freed = new Float64Array(MOST_PATIENCE_S + 1);
+    const put = (inS: number, cpus: number) => {
+      const k = Math.max(0, Math.ceil(inS));
+      if (k <= MOST_PATIENCE_S) freed[k]! += cpus;
+    };
     for (const m of this.machines.values()) {
-      if (m.sum.batchTasks === 0) continue;
+      if (m.sum.batchTasks === 0 || m.removing || m.leaveAt !== null) continue;
       for (const e of m.entries.values()) {
-        if (e.service || !takesRoom(e) || e.estimateS <= 0 || e.listed?.phase !== 'running') continue;
-        if (e.estimateS - (now - e.since) / 1000 < limit) soon += e.cpus;
+        if (e.service || !takesRoom(e) || e.estimateS <= 0) continue;
+        const ran = e.listed?.phase === 'running' ? (now - e.since) / 1000 : 0;
+        // One that has outrun its estimate is likely to go on for a part of it.
+        put(Math.max(e.estimateS - ran, e.estimateS * 0.3), e.cpus);
       }
     }
+    const usage = this.usage();
     const out: { want: Want; count: number }[] = [];
-    for (const l of left) {
-      if (l.want.service || l.want.whole || l.want.cpus <= 0) {
-        out.push(l);
-        continue;
+    for (const { want, count } of left) {
+      let open = count;
+      if (!want.service && !want.whole && want.cpus > 0 && want.spot) {
+        // A guarantee is to be had at once, whatever the aim allows.
+        const inside = this.within(usage.get(want.team), want.team, want);
+        const patience = inside ? 0 : Math.max(this.policyNow.patience_s, want.patienceS ?? 0);
+        const until = Math.min(MOST_PATIENCE_S, patience);
+        for (let k = 0; k <= until && open > 0; k++) {
+          const n = Math.min(open, Math.floor(freed[k]! / want.cpus + 1e-9));
+          if (n <= 0) continue;
+          open -= n;
+          freed[k]! -= n * want.cpus;
+          put(k + Math.max(1, want.estimateS), n * want.cpus);
+        }
       }
-      const covered = Math.min(l.count, Math.floor(soon / l.want.cpus));
-      soon -= covered * l.want.cpus;
-      if (l.count > covered) out.push({ want: l.want, count: l.count - covered });
+      if (open > 0) out.push({ want, count: open });
     }
     return out;
   }
@@ -1518,6 +1537,7 @@
       zoneCap: 1,
       avoid: [],
       near: '',
+      patienceS: null,
       seen: 0,
     };
   }
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -827,6 +827,19 @@
     return s.shape !== 'service' && wall - s.at > MOST_KEPT_MS && j.count.n + j.placed.size < s.tasks;
   }
 
+  /**
+   * What is left of its aim once its tasks have run, with as much again for machines to come up and for estimates that
+   * are too low.
+   */
+  private patience(j: Job): number | null {
+    const s = j.spec;
+    const ageS = (this.o.clock.wall() - s.at) / 1000;
+    if (s.deadlineS !== null) return Math.max(0, s.deadlineS / 2 - ageS - s.estimateS);
+    const aims = this.finish.get(s.cls);
+    if (!aims || s.shape === 'service') return null;
+    return Math.max(0, (aims[0] ?? 0) / 2 - ageS - 2 * s.estimateS);
+  }
+
   private queuePlace(j: Job): number {
     const s = j.spec;
     if (s.shape === 'service') return s.at;
@@ -876,6 +889,7 @@
       zoneCap: cap,
       avoid,
       near: j.near,
+      patienceS: this.patience(j),
       seen: this.lastGrant,
     };
   }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -120,6 +120,8 @@
   /** Machines on which this job failed lately. */
   avoid: string[];
   near: string;
+  /** So long it may still wait for places without putting its aim or deadline at risk; null: it has none. */
+  patienceS: number | null;
   /** The newest grant that its owner had taken in: what it granted is no longer wanted. */
   seen: number;
 }
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -245,6 +245,7 @@
     zoneCap: 1,
     avoid: [],
     near: '',
+    patienceS: null,
     seen: 0,
   });
   const r: WorkerReport = {
