--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -19,7 +19,14 @@
   // No controller hears of these: the stand-ins are told directly what no rule allows.
   for (const h of w.hosts) w.kill(h, 1e9);
   const put = (spec: ReturnType<typeof job>) =>
-    w.jobs.set(spec.id, { spec, accepted: true, askedCancel: true, cancelledAt: null, told: null });
+    w.jobs.set(spec.id, {
+      spec,
+      accepted: true,
+      askedCancel: true,
+      cancelledAt: null,
+      told: null,
+      answeredAt: 0,
+    });
   const a = w.machine('small', 'a', true);
   const b = w.machine('big', 'a', false);
   const run = (m: typeof a, id: string, idx: number) =>
--- a/test/standin/day.ts
+++ b/test/standin/day.ts
@@ -70,7 +70,7 @@
   };
   const machines = [...w.workers.keys()];
   const others = w.hosts.filter((h) => h !== host);
-  switch (Math.floor(s.random() * 15)) {
+  switch (Math.floor(s.random() * 21)) {
     case 0:
       return w.kill(host, s.chance(0.3) ? s.between(50, 400) : 2500);
     case 1:
@@ -122,6 +122,31 @@
       });
     case 13:
       return w.state.loseHistory();
+    case 15:
+      w.copies = true;
+      return s.after(forMs, () => {
+        w.copies = false;
+      });
+    case 16: {
+      // Heard, but nothing reaches them; now and then the whole fleet at once.
+      const some = s.chance(0.2) ? machines : machines.filter(() => s.chance(0.3));
+      for (const m of some) w.net.deaf.add(m);
+      return s.after(forMs, () => {
+        for (const m of some) w.net.deaf.delete(m);
+      });
+    }
+    case 17:
+      return cut([...others, 'state'].map((x) => [host, x] as [string, string]));
+    case 18:
+      return cut(w.hosts.flatMap((a) => w.hosts.filter((b) => a < b).map((b) => [a, b] as [string, string])));
+    case 19:
+      w.net.slow.set('state', 100);
+      return s.after(forMs, () => void w.net.slow.delete('state'));
+    case 20:
+      // Back at once, and gone again in the midst of the election.
+      w.kill(host, s.between(20, 200));
+      s.after(s.between(200, 900), () => w.kill(host, s.between(20, 200)));
+      return s.after(s.between(200, 3500), () => w.kill(s.pick(w.hosts), s.between(20, 200)));
     case 14: {
       const inside = [host, ...[...w.workers.values()].filter((x) => x.zone === 'a').map((x) => x.name)];
       const outside = [
@@ -152,6 +177,7 @@
     });
   }
   for (let i = 0; i < troubles; i++) s.at(s.between(3000, busy), () => trouble(w, busy + 5000));
+  w.quietFrom = busy + 5000;
   s.at(1000, () => w.pollUnknown());
   w.sim.run(busy + 200000);
   return w;
--- a/test/standin/sim.ts
+++ b/test/standin/sim.ts
@@ -93,17 +93,24 @@
     return this.cuts.get(this.key(a, b))?.mode ?? null;
   }
 
+  /** Hosts that nothing reaches, although what they send arrives. */
+  readonly deaf = new Set<string>();
+  /** Hosts whose answers take so many times as long. */
+  readonly slow = new Map<string, number>();
+
   /** One way, in order per pair of hosts. */
   private last = new Map<string, number>();
   send(from: string, to: string, fn: () => void, lost: () => void = () => {}): void {
     const c = this.cuts.get(this.key(from, to));
+    if (this.deaf.has(to)) return;
     if (c?.mode === 'reset') return lost();
     if (c) {
       c.held.push(() => this.send(from, to, fn, lost));
       return;
     }
     const k = `${from}>${to}`;
-    const at = Math.max(this.sim.now + this.sim.between(0.3, 4), (this.last.get(k) ?? 0) + 0.001);
+    const delay = this.sim.between(0.3, 4) * (this.slow.get(from) ?? 1);
+    const at = Math.max(this.sim.now + delay, (this.last.get(k) ?? 0) + 0.001);
     this.last.set(k, at);
     this.sim.at(at, fn);
   }
--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -20,6 +20,8 @@
   fails(job: string, machine: string): boolean;
   controllers(): string[];
   report(host: string, r: WorkerReport, reply: (a: ReportAnswer) => void): void;
+  /** Sends a copy of a report later, if copies come late today. */
+  copy(r: WorkerReport): void;
   gangMates(job: string, attempt: number): Task[];
   isDone(job: string, idx: number): boolean;
   setDone(job: string, idx: number): void;
@@ -115,6 +117,7 @@
     const sent = sim.now;
     const season = this.season;
     const body = this.body();
+    this.w.copy(body);
     this.busy = true;
     this.changed = false;
     this.nextAt = sim.now + this.t.reportMs * sim.between(0.75, 1.25);
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -66,6 +66,7 @@
   askedCancel: boolean;
   cancelledAt: number | null;
   told: JobState | null;
+  answeredAt: number;
 }
 
 interface Proc {
@@ -90,6 +91,10 @@
   /** Jobs that fail on every machine. */
   readonly doomed = new Set<string>();
   cloudDown = false;
+  /** Copies of reports come late, from moments to well over a lease. */
+  copies = false;
+  /** From here on nothing but work is asked of the controllers. */
+  quietFrom = Number.POSITIVE_INFINITY;
   capacity = 12;
   starts = 0;
   private machines = 0;
@@ -324,6 +329,14 @@
         const p = this.procs.get(host);
         if (p?.alive) reply(JSON.parse(JSON.stringify(p.ctl.report(JSON.parse(JSON.stringify(r))))));
       },
+      copy: (r: WorkerReport) => {
+        if (!this.copies || !this.sim.chance(0.3)) return;
+        const text = JSON.stringify(r);
+        this.sim.after(this.sim.between(500, LEASE_S * 2500), () => {
+          const p = this.procs.get(this.anyHost());
+          if (p?.alive) p.ctl.report(JSON.parse(text));
+        });
+      },
       gangMates: (job: string, attempt: number) =>
         [...this.workers.values()]
           .filter((x) => x.alive && !x.hung)
@@ -362,6 +375,7 @@
       askedCancel: false,
       cancelledAt: null,
       told: null,
+      answeredAt: this.sim.now,
     };
     this.jobs.set(spec.id, j);
     const go = (left: number) =>
@@ -421,6 +435,7 @@
   private tell(j: UserJob, state: JobState, done: number): void {
     const id = j.spec.id;
     j.accepted = true;
+    j.answeredAt = this.sim.now;
     if (state === 'cancelled') {
       if (!j.askedCancel) this.fault(`went_back: ${id} cancelled by nobody`);
       j.cancelledAt ??= this.sim.now;
@@ -474,6 +489,11 @@
         }
       }
     }
+    for (const j of this.jobs.values())
+      if (j.accepted && this.sim.now - Math.max(j.answeredAt, this.quietFrom) > 75000) {
+        this.fault(`forgotten: no question about ${j.spec.id} is answered`);
+        j.answeredAt = this.sim.now;
+      }
     for (const t of TEAMS)
       if (t.cpusMax > 0 && (use.get(t.name) ?? 0) > t.cpusMax + 1e-9)
         this.fault(`quota: ${t.name} uses ${use.get(t.name)}`);
