--- a/src/core/autoscale.ts
+++ b/src/core/autoscale.ts
@@ -53,6 +53,7 @@
   now: number;
   /** Span over which boot and image fetch are paid off. */
   amortizeS: number;
+  amortizeServiceS: number;
   scarceZone: string | null;
   /** Calls to the cloud that may be made now, each for up to `MOST_A_CALL` machines of one kind. */
   maxCalls: number;
@@ -66,7 +67,7 @@
   const out = new Map<string, Rental>();
   const rest = i.left.map((l) => ({
     want: l.want,
-    count: fill(rooms, l.want, l.count, i.scarceZone, () => {}),
+    count: fill(rooms, l.want, Math.ceil(l.count / runsEach(i, l.want)), i.scarceZone, () => {}),
   }));
   const calls = () => [...out.values()].reduce((n, r) => n + Math.ceil(r.n / MOST_A_CALL), 0);
   for (let k = 0; k < rest.length && calls() < i.maxCalls; k++) {
@@ -104,6 +105,15 @@
   });
 }
 
+/** How many tasks of a want a place on a machine rented now can run one after the other before its aim. */
+function runsEach(i: ScaleInput, w: Want): number {
+  if (w.slackS === null || w.service || w.whole || w.estimateS <= 0) return 1;
+  let wait = 0;
+  for (const t of i.types)
+    if (slots(t, w) >= 1) wait = Math.max(wait, t.bootS + w.imageGb / Math.max(0.01, t.fetchGbPerS));
+  return Math.max(1, Math.min(8, Math.floor((w.slackS - wait) / (w.estimateS * 1.3))));
+}
+
 /** Tasks of this and later wants that could share a machine rented for this one. */
 function similar(rest: { want: Want; count: number }[], from: number): number {
   const w = rest[from]!.want;
@@ -130,7 +140,8 @@
         const at = { type: type.name, zone, spot };
         if (!allowed(at, w) || !i.capacity.open(at, i.now)) continue;
         const wait = type.bootS + w.imageGb / Math.max(0.01, type.fetchGbPerS);
-        const c = ((spot ? type.spotPrice : type.price) / Math.min(per, count)) * (1 + wait / i.amortizeS);
+        const span = w.service ? i.amortizeServiceS : i.amortizeS;
+        const c = ((spot ? type.spotPrice : type.price) / Math.min(per, count)) * (1 + wait / span);
         if (zone === i.scarceZone && !spot && !w.zoneRoom && w.zone !== zone) continue;
         if (c < cost) {
           cost = c;
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -101,6 +101,8 @@
   private readonly parts = new Map<string, { sync: number; held: Held[] }>();
   private scarce: string | null = null;
   private scarceAt = Number.NEGATIVE_INFINITY;
+  /** Ordinary machines without replicas that the reserve lies on. */
+  private spare = new Set<string>();
   private readonly reserved = new Set<Machine>();
   private median = { at: Number.NEGATIVE_INFINITY, value: 0 };
   private readonly declined = new Map<string, number>();
@@ -121,6 +123,7 @@
   private nextList = 0;
   private nextAsk = 0;
   private nextMove = 0;
+  private nextLog = 0;
   private listed = false;
   private listing = false;
   private removeBusy = false;
@@ -835,6 +838,7 @@
     r.images = m.images;
     if (m.reserved && m.reserved.until > now) r.reserved = m.reserved;
     r.penalty = (now - m.heardAt > this.quietMs() ? 10 : 0) + (m.errors.size > 0 ? 20 : 0);
+    r.surplus = !m.spot && m.sum.services === 0 && !this.spare.has(m.name);
     r.cpus = m.sum.free.cpus;
     r.gpus = m.sum.free.gpus;
     r.mem = m.sum.free.mem;
@@ -914,12 +918,11 @@
     const usage = this.usage();
     for (const [inst, wants] of this.wants)
       for (const want of wants)
-        if (this.heeds(inst, want.team))
-          refs.push({
-            want,
-            inst,
-            inside: this.within(usage.get(want.team), want.team, want),
-          });
+        if (this.heeds(inst, want.team)) {
+          const inside = this.within(usage.get(want.team), want.team, want);
+          // A guarantee is to be had at once, whatever the aim allows.
+          refs.push({ want: inside && want.patienceS ? { ...want, patienceS: 0 } : want, inst, inside });
+        }
     refs.sort(
       (a, b) =>
         a.want.rank - b.want.rank || Number(b.inside) - Number(a.inside) || a.want.order - b.want.order,
@@ -960,9 +963,10 @@
       if (count <= 0) continue;
       // Room that stops already under way will free is waited for before more is stopped; what comes into it
       // counts as used, or one task's guarantee would be claimed for all.
-      const waiting = fill(promised, want, count, scarce, () => this.addUse(usage, want));
-      if (waiting > 0 && ready) this.preempt(want, waiting, usage, now);
-      left.push({ want, count });
+      let waiting = fill(promised, want, count, scarce, () => this.addUse(usage, want));
+      if (waiting > 0 && ready) waiting -= this.preempt(want, waiting, usage, now);
+      // What room is being freed for needs no machine.
+      if (waiting > 0) left.push({ want, count: waiting });
     }
     for (const [inst, g] of grants) this.o.send(inst, { k: 'grants', token: this.token, grants: g });
     for (const m of this.reserved)
@@ -1083,12 +1087,12 @@
     count: number,
     usage: Map<string, { cpus: number; gpus: number }>,
     now: number,
-  ): void {
-    if (w.whole) return;
+  ): number {
+    if (w.whole) return 0;
     const inside = this.within(usage.get(w.team), w.team, w);
     let lower = false;
     for (let k = w.rank + 1; k < 4; k++) if (this.total.ranks[k]! > 0) lower = true;
-    if (!lower && !inside) return;
+    if (!lower && !inside) return 0;
     const stops = new Map<string, { job: string; idx: number; attempt: number }[]>();
     type Pick = { m: Machine; victims: Entry[]; cost: number };
     const offers: Pick[] = [];
@@ -1097,7 +1101,8 @@
       const o = this.offer(m, w, usage, now);
       if (o) offers.push(o);
     }
-    for (let n = 0; n < count; n++) {
+    let picked = 0;
+    for (; picked < count; picked++) {
       let pick: Pick | null = null;
       for (const o of offers) if (!pick || o.cost < pick.cost) pick = o;
       if (!pick) break;
@@ -1122,6 +1127,7 @@
     }
     for (const [inst, tasks] of stops)
       this.o.send(inst, { k: 'evict', token: this.token, tasks, why: `room for ${w.job}` });
+    return picked;
   }
 
   // ---- fleet ----------------------------------------------------------------------------------------
@@ -1203,9 +1209,11 @@
     const scarce = this.scarce;
     // The reserve may lie in room that lower work uses now and would be stopped for.
     const rooms = this.reserveRooms(now);
+    const spare = new Set<string>();
     const phantom = this.reserve()
-      .map((x) => ({ want: x.want, count: fill(rooms, x.want, x.count, scarce, () => {}) }))
+      .map((x) => ({ want: x.want, count: fill(rooms, x.want, x.count, scarce, (r) => spare.add(r.name)) }))
       .filter((x) => x.count > 0);
+    this.spare = spare;
     for (const name of this.rescue.keys())
       if (!this.machines.has(name) || now - this.machines.get(name)!.heardAt < 3000) this.rescue.delete(name);
     const rescued = [...this.rescue.values()].flat().map((want) => ({ want, count: 1 }));
@@ -1220,6 +1228,7 @@
         capacity: this.capacity,
         now,
         amortizeS: p.amortize_s,
+        amortizeServiceS: p.amortize_service_s,
         scarceZone: scarce,
         maxCalls: Math.max(2, Math.floor(this.o.cloudRps)),
       });
@@ -1247,14 +1256,11 @@
         put(Math.max(e.estimateS - ran, e.estimateS * 0.3), e.cpus);
       }
     }
-    const usage = this.usage();
     const out: { want: Want; count: number }[] = [];
     for (const { want, count } of left) {
       let open = count;
       if (!want.service && !want.whole && want.cpus > 0 && want.spot) {
-        // A guarantee is to be had at once, whatever the aim allows.
-        const inside = this.within(usage.get(want.team), want.team, want);
-        const patience = inside ? 0 : Math.max(this.policyNow.patience_s, want.patienceS ?? 0);
+        const patience = Math.max(this.policyNow.patience_s, want.patienceS ?? 0);
         const until = Math.min(MOST_PATIENCE_S, patience);
         for (let k = 0; k <= until && open > 0; k++) {
           const n = Math.min(open, Math.floor(freed[k]! / want.cpus + 1e-9));
@@ -1370,9 +1376,10 @@
     this.nextMove = now + 3000;
     for (const wants of this.wants.values()) if (wants.some((w) => w.service)) return;
     const all: { m: Machine; moves: Entry[]; gain: number }[] = [];
+    let going = 0;
     for (const m of this.machines.values()) {
       if (m.leaving) {
-        if (m.entries.size > 0) return;
+        if (m.entries.size > 0) going++;
         continue;
       }
       const t = this.types.get(m.type);
@@ -1383,16 +1390,22 @@
       all.push({ m, moves, gain: t.price / moves.length });
     }
     all.sort((a, b) => b.gain - a.gain);
-    const free = this.rooms(now).filter((r) => !r.spot);
+    let most = Math.ceil(this.machines.size / 60) - going;
+    if (most <= 0) return;
+    // Lower work is stopped for them if need be: it is cheaper to run elsewhere.
+    let free = this.reserveRooms(now).filter((r) => !r.spot);
     const cold = this.coldImages(free, now);
+    const taken = new Set<string>();
     for (const { m, moves } of all.slice(0, MOST_TRIES)) {
+      if (taken.has(m.name)) continue;
       const rooms = free.filter((r) => r.name !== m.name).map((r) => ({ ...r }));
+      const to: string[] = [];
       const fit = moves.every((e) => {
         const here = rooms.filter(
           (r) => r.zone === m.zone && r.images?.has(e.image) && (!e.types || e.types.includes(r.type)),
         );
         const w: Want = { ...this.wantOf(e, m), zone: m.zone, zoneRoom: {} };
-        return fill(here, w, 1, null, () => {}) === 0;
+        return fill(here, w, 1, null, (r) => to.push(r.name)) === 0;
       });
       if (!fit) continue;
       if (this.reserve().some((x) => fill(rooms, x.want, x.count, this.scarce, () => {}) > 0)) continue;
@@ -1403,7 +1416,9 @@
         'replicas move to empty a machine',
       );
       this.evictAll(moves, now, `${m.name} is emptied`);
-      return;
+      if (--most <= 0) return;
+      free = rooms;
+      for (const name of to) taken.add(name);
     }
   }
 
@@ -1538,6 +1553,7 @@
       avoid: [],
       near: '',
       patienceS: null,
+      slackS: null,
       seen: 0,
     };
   }
@@ -1584,8 +1600,31 @@
     this.nextPass = after + Math.min(500, Math.max(30, (after - now) * 5));
   }
 
+  /** What the fleet is made of, for operators. */
+  private logFleet(now: number): void {
+    if (now < this.nextLog) return;
+    this.nextLog = now + 30000;
+    const kinds: Record<
+      string,
+      { machines: number; up: number; cpus: number; services: number; batch: number }
+    > = {};
+    for (const m of this.machines.values()) {
+      const key = `${m.type}/${m.zone}${m.spot ? '/spot' : ''}`;
+      kinds[key] ??= { machines: 0, up: 0, cpus: 0, services: 0, batch: 0 };
+      const k = kinds[key];
+      k.machines++;
+      if (!m.up) continue;
+      k.up++;
+      k.cpus += this.types.get(m.type)?.cpus ?? 0;
+      k.services += m.sum.serviceCpus;
+      k.batch += m.sum.batch.cpus;
+    }
+    this.o.log.info({ kinds, wants: [...this.wants.values()].reduce((n, l) => n + l.length, 0) }, 'fleet');
+  }
+
   tick(): void {
     const now = this.o.clock.now();
+    this.logFleet(now);
     this.refresh();
     this.policyNow = this.o.policy(this.policyInput());
     for (const m of this.machines.values()) if (m.entries.size > 0) this.toDirect.add(m);
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -840,6 +840,14 @@
     return Math.max(0, (aims[0] ?? 0) / 2 - ageS - 2 * s.estimateS);
   }
 
+  private slack(j: Job): number | null {
+    const s = j.spec;
+    const aim = s.deadlineS ?? (s.shape === 'service' ? undefined : this.finish.get(s.cls)?.[0]);
+    if (aim === undefined) return null;
+    const left = aim * 0.75 - (this.o.clock.wall() - s.at) / 1000;
+    return left > 0 ? left : null;
+  }
+
   private queuePlace(j: Job): number {
     const s = j.spec;
     if (s.shape === 'service') return s.at;
@@ -890,6 +898,7 @@
       avoid,
       near: j.near,
       patienceS: this.patience(j),
+      slackS: this.slack(j),
       seen: this.lastGrant,
     };
   }
--- a/src/core/policy.ts
+++ b/src/core/policy.ts
@@ -20,6 +20,8 @@
   idle_s: number;
   /** Seconds over which boot and image fetch of a rented machine are paid off. */
   amortize_s: number;
+  /** The same for machines rented for services, which stay longer. */
+  amortize_service_s: number;
   /** Multiple of the type's boot time after which a machine that is not up is given up. */
   boot_patience: number;
   /** Seconds of silence after which a machine is deleted to settle its tasks. */
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -15,6 +15,8 @@
   /** Seconds added to its rank: a machine not heard lately, or slow. */
   penalty: number;
   reserved: { job: string; rank: number } | null;
+  /** Ordinary, without replicas and no part of the reserve: kept only as long as work can't wait. */
+  surplus: boolean;
 }
 
 const EPS = 1e-9;
@@ -69,6 +71,8 @@
     // The ordinary room of a zone that jobs which must be spread depend on is theirs; what can be stopped
     // for them may use it meanwhile.
     if (scarceZone === r.zone && !r.spot && w.service && !w.zoneRoom && w.zone === null) continue;
+    // Work that has time and may use cheap machines lets it run empty, to be returned.
+    if (r.surplus && w.spot && !w.service && (w.patienceS ?? 0) > 0) continue;
     if (!fits(r, w) || !allowed(r, w) || w.avoid.includes(r.name)) continue;
     const v = rankRoom(r, w, scarceZone);
     if (v < rank) {
@@ -147,5 +151,6 @@
     fetchGbPerS: t.fetchGbPerS,
     penalty: 0,
     reserved: null,
+    surplus: false,
   };
 }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -122,6 +122,8 @@
   near: string;
   /** So long it may still wait for places without putting its aim or deadline at risk; null: it has none. */
   patienceS: number | null;
+  /** So long from now its tasks may take to be done in time with some margin; null: no aim, or past it. */
+  slackS: number | null;
   /** The newest grant that its owner had taken in: what it granted is no longer wanted. */
   seen: number;
 }
--- a/src/settings/policy.ts
+++ b/src/settings/policy.ts
@@ -10,6 +10,7 @@
   reserve_batch: [0, 100],
   idle_s: [0, 86400],
   amortize_s: [1, 86400],
+  amortize_service_s: [1, 86400],
   boot_patience: [1, 100],
   silent_s: [1, 600],
   silent_share: [0, 1],
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -84,6 +84,7 @@
       reserve_batch: 0,
       idle_s: 60,
       amortize_s: 60,
+      amortize_service_s: 60,
       boot_patience: 3,
       silent_s: 60,
       silent_share: 0.5,
@@ -253,6 +254,7 @@
     avoid: [],
     near: '',
     patienceS: null,
+    slackS: null,
     seen: 0,
   });
   const r: WorkerReport = {
