--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -1034,14 +1034,15 @@
     return out;
   }
 
-  private mayStop(w: Want, e: Entry, usage: Map<string, { cpus: number; gpus: number }>): boolean {
+  /** `less`: CPUs of the team's tasks that are chosen already. */
+  private mayStop(w: Want, e: Entry, usage: Map<string, { cpus: number; gpus: number }>, less = 0): boolean {
     if (e.want !== 'run' || e.evicting || e.settled) return false;
     // Services give way to nothing below them, whatever team they belong to.
     if (e.rank === 0) return false;
     if (e.team === w.team || w.rank === 0) return e.rank > w.rank;
     const t = this.o.teams.get(e.team);
     const u = usage.get(e.team);
-    const beyond = !!t && !!u && u.cpus > t.cpus + 1e-9;
+    const beyond = !!t && !!u && u.cpus - less > t.cpus + 1e-9;
     const within = this.within(usage.get(w.team), w.team, w);
     // A guarantee goes before rank: were it otherwise, each of two teams could stop the other for ever.
     if (e.rank > w.rank) return beyond || within;
@@ -1068,8 +1069,13 @@
     }
     may.sort((a, b) => b.rank - a.rank || b.since - a.since);
     const victims: Entry[] = [];
+    const less = new Map<string, number>();
     for (const e of may) {
-      if (r.cpus >= w.cpus && r.mem >= w.mem && r.gpus >= w.gpus) break;
+      if (fits(r, w)) break;
+      // A team a little beyond its guarantee must not lose more than that: it would claim it back, and so for ever.
+      const gone = less.get(e.team) ?? 0;
+      if (!this.mayStop(w, e, usage, gone)) continue;
+      less.set(e.team, gone + e.cpus);
       victims.push(e);
       r.cpus += e.cpus;
       r.gpus += e.gpus;
