--- a/src/core/autoscale.ts
+++ b/src/core/autoscale.ts
@@ -65,15 +65,17 @@
 export function planRentals(i: ScaleInput): Rental[] {
   const rooms = [...i.coming];
   const out = new Map<string, Rental>();
-  const rest = i.left.map((l) => ({
-    want: l.want,
-    count: fill(rooms, l.want, Math.ceil(l.count / runsEach(i, l.want)), i.scarceZone, () => {}),
-  }));
+  // A want of its own each: what is planned in a zone counts against what may still go there, or machines would be
+  // rented again and again for replicas that may not use them.
+  const rest = i.left.map((l) => {
+    const want: Want = { ...l.want, zoneRoom: l.want.zoneRoom ? { ...l.want.zoneRoom } : null };
+    return { want, count: plan(rooms, want, Math.ceil(l.count / runsEach(i, want)), i.scarceZone) };
+  });
   const calls = () => [...out.values()].reduce((n, r) => n + Math.ceil(r.n / MOST_A_CALL), 0);
   for (let k = 0; k < rest.length && calls() < i.maxCalls; k++) {
     const { want } = rest[k]!;
     // Room rented for an earlier want may have space for this one.
-    let count = fill(rooms, want, rest[k]!.count, i.scarceZone, () => {});
+    let count = plan(rooms, want, rest[k]!.count, i.scarceZone);
     let guard = 64;
     while (count > 0 && calls() < i.maxCalls && guard-- > 0) {
       const c = cheapest(i, want, Math.max(count, similar(rest, k)));
@@ -92,10 +94,10 @@
       const fresh: Room[] = [];
       for (let x = 0; x < more; x++) fresh.push(emptyRoom(c.type, c.zone, c.spot, ''));
       const before = count;
-      count = fill(fresh, want, count, i.scarceZone, () => {});
+      count = plan(fresh, want, count, i.scarceZone);
       for (const x of fresh) if (x.cpus > 1e-9) rooms.push(x);
       if (count === before && !want.whole) break;
-      if (want.whole) count = fill(rooms, want, count, i.scarceZone, () => {});
+      if (want.whole) count = plan(rooms, want, count, i.scarceZone);
     }
   }
   return [...out.values()].flatMap((r) => {
@@ -105,6 +107,13 @@
   });
 }
 
+function plan(rooms: Room[], w: Want, count: number, scarceZone: string | null): number {
+  const used: string[] = [];
+  const left = fill(rooms, w, count, scarceZone, (r) => used.push(r.zone));
+  if (w.zoneRoom) for (const z of used) w.zoneRoom[z] = (w.zoneRoom[z] ?? w.zoneCap) - 1;
+  return left;
+}
+
 /** How many tasks of a want a place on a machine rented now can run one after the other before its aim. */
 function runsEach(i: ScaleInput, w: Want): number {
   if (w.slackS === null || w.service || w.whole || w.estimateS <= 0) return 1;
@@ -136,7 +145,7 @@
     const per = slots(type, w);
     if (per < 1) continue;
     for (const zone of type.zones) {
-      for (const spot of w.spot ? [true, false] : [false]) {
+      for (const spot of w.spotOnly ? [true] : w.spot ? [true, false] : [false]) {
         const at = { type: type.name, zone, spot };
         if (!allowed(at, w) || !i.capacity.open(at, i.now)) continue;
         const wait = type.bootS + w.imageGb / Math.max(0.01, type.fetchGbPerS);
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -1223,7 +1223,7 @@
     for (const name of this.rescue.keys())
       if (!this.machines.has(name) || now - this.machines.get(name)!.heardAt < 3000) this.rescue.delete(name);
     const rescued = [...this.rescue.values()].flat().map((want) => ({ want, count: 1 }));
-    const need = [...this.afterWaiting(left, now), ...rescued, ...phantom];
+    const need = [...this.afterWaiting(left, now), ...rescued, ...phantom, ...this.cheaper(now)];
     // A new keeper lets the list, the reports and the owners speak first.
     const settled = this.o.first || (this.listed && now - this.startedAt > this.o.listLagS * 1000);
     if (need.length > 0 && settled && this.allSynced()) {
@@ -1281,6 +1281,25 @@
     return out;
   }
 
+  /**
+   * Work on ordinary machines that are there for it alone, as a want that only cheap ones serve: when some are to be
+   * had, it moves there task by task and the ordinary ones run empty.
+   */
+  private cheaper(now: number): { want: Want; count: number }[] {
+    let cpus = 0;
+    for (const m of this.machines.values()) {
+      if (m.spot || m.removing || m.sum.services > 0 || this.spare.has(m.name)) continue;
+      if (m.up) cpus += m.sum.batch.cpus;
+    }
+    for (const m of this.withRoom) if (m.spot && this.usable(m, now)) cpus -= m.sum.free.cpus;
+    let shape: Want | null = null;
+    for (const l of this.wants.values())
+      for (const w of l) if (w.spot && !w.service && !w.whole && (!shape || w.cpus > shape.cpus)) shape = w;
+    if (!shape || cpus < shape.cpus) return [];
+    const want: Want = { ...shape, job: '', avoid: [], near: '', types: null, slackS: null, spotOnly: true };
+    return [{ want, count: Math.floor(cpus / shape.cpus) }];
+  }
+
   /** Room that services would find if lower work were stopped for them. */
   private reserveRooms(now: number): Room[] {
     this.refresh();
@@ -1330,7 +1349,9 @@
         this.remove(m, 'empty, and not used any more');
         continue;
       }
-      if (now - m.idleSince >= (idleMs.get(m.type) ?? 60000)) idle.set(m.name, m);
+      const idleFor = idleMs.get(m.type) ?? 60000;
+      const surplus = !m.spot && !this.spare.has(m.name);
+      if (now - m.idleSince >= (surplus ? idleFor / 2 : idleFor)) idle.set(m.name, m);
     }
     if (idle.size === 0) return;
     for (const m of idle.values()) {
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -59,7 +59,7 @@
   if (w.near === r.name) v -= 1;
   // Work that may use cheap machines leaves the ordinary ones to work that may not.
   if (w.spot && !r.spot) v += 4;
-  if (scarceZone === r.zone && !w.zoneRoom) v += 6;
+  if (scarceZone === r.zone && !r.spot && !w.zoneRoom) v += 6;
   return v;
 }
 
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -112,6 +112,8 @@
   estimateS: number;
   types: string[] | null;
   spot: boolean;
+  /** Only cheap machines are worth renting for it. */
+  spotOnly?: boolean;
   zone: string | null;
   together: boolean;
   /** At most so many more in a zone, for jobs that must be spread. */
