--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -925,15 +925,52 @@
         }
     refs.sort(
       (a, b) =>
-        a.want.rank - b.want.rank || Number(b.inside) - Number(a.inside) || a.want.order - b.want.order,
+        a.want.rank - b.want.rank ||
+        Number(b.inside) - Number(a.inside) ||
+        a.want.stage - b.want.stage ||
+        a.want.order - b.want.order,
     );
     const list = this.rooms(now);
     const scarce = this.scarce;
     const grants = new Map<string, Grant[]>();
     const wanted = new Set<string>();
     const promised = this.freeing(now);
+    const ready = this.o.entitled();
     const kept = [...this.batchShapes.values()].sort((a, b) => a.want.rank - b.want.rank);
-    for (const { want, inst } of refs) {
+    const place = ({ want, inst }: WantRef, count: number, rooms: Room[]): number => {
+      if (!ready || count <= 0) return count;
+      return fill(rooms, want, count, scarce, (r) => {
+        const m = this.machines.get(r.name) as Machine;
+        this.addUse(usage, want);
+        const g = this.grant(m, want, now);
+        const l = grants.get(inst);
+        if (l) l.push(g);
+        else grants.set(inst, [g]);
+      });
+    };
+    const finish = (ref: WantRef, count: number): void => {
+      const { want } = ref;
+      const open = place(ref, count, list);
+      if (open <= 0) return;
+      // Room that stops already under way will free is waited for before more is stopped; what comes into it
+      // counts as used, or one task's guarantee would be claimed for all.
+      let waiting = fill(promised, want, open, scarce, () => this.addUse(usage, want));
+      if (waiting > 0 && ready) waiting -= this.preempt(want, waiting, usage, now);
+      // What room is being freed for needs no machine.
+      if (waiting > 0) left.push({ want, count: waiting });
+    };
+    // Work that can wait goes first where its image is, as long as nothing that can't wait is before it: a fetch keeps
+    // a place about as long as a task does. What finds none takes its turn after the others like it.
+    let cold: { ref: WantRef; count: number }[] = [];
+    let group = '';
+    for (const ref of refs) {
+      const { want } = ref;
+      const next = `${want.rank}${ref.inside}`;
+      if (next !== group) {
+        for (const c of cold) finish(c.ref, c.count);
+        cold = [];
+        group = next;
+      }
       // Lower work leaves the room that the next job of a class with an aim on waiting will need.
       while (kept.length > 0 && kept[0]!.want.rank < want.rank) {
         const k = kept.shift()!;
@@ -950,24 +987,13 @@
         this.declined.delete(want.job);
       }
       if (count <= 0 || (want.whole && count < want.count)) continue;
-      const ready = this.o.entitled();
-      if (ready)
-        count = fill(list, want, count, scarce, (r) => {
-          const m = this.machines.get(r.name) as Machine;
-          this.addUse(usage, want);
-          const g = this.grant(m, want, now);
-          const l = grants.get(inst);
-          if (l) l.push(g);
-          else grants.set(inst, [g]);
-        });
-      if (count <= 0) continue;
-      // Room that stops already under way will free is waited for before more is stopped; what comes into it
-      // counts as used, or one task's guarantee would be claimed for all.
-      let waiting = fill(promised, want, count, scarce, () => this.addUse(usage, want));
-      if (waiting > 0 && ready) waiting -= this.preempt(want, waiting, usage, now);
-      // What room is being freed for needs no machine.
-      if (waiting > 0) left.push({ want, count: waiting });
+      if (want.service || want.whole || (want.patienceS ?? 0) <= 0) finish(ref, count);
+      else {
+        const warm = list.filter((r) => r.images?.has(want.image));
+        cold.push({ ref, count: place(ref, count, warm) });
+      }
     }
+    for (const c of cold) finish(c.ref, c.count);
     for (const [inst, g] of grants) this.o.send(inst, { k: 'grants', token: this.token, grants: g });
     for (const m of this.reserved)
       if (!m.reserved || !wanted.has(m.reserved.job)) {
