--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -21,7 +21,7 @@
 
 /** What controllers say to one another. */
 export type MeshBody =
-  | { k: 'ping'; leader: string; token: number; stateOk: boolean }
+  | { k: 'ping'; leader: string; token: number; okAgeMs: number }
   | { k: 'owner'; to: string; m: OwnerMsg }
   | { k: 'keeper'; to: string; m: KeeperMsg };
 export interface MeshMsg {
@@ -74,6 +74,9 @@
 /** Least time between two watches of the open jobs, which change several times a second. */
 const OPEN_GAP_MS = 100;
 
+/** Part of a lease by which a sibling's last answer from the state service must be later than this one's own. */
+const ALONE = 0.6;
+
 export type ReportAnswer =
   | { s: 'ok'; token: number; cmds: WorkerCommand[] }
   | { s: 'other'; keeper: string | null }
@@ -106,7 +109,7 @@
   private raiseAt = 0;
   private stateOkAt: number;
   private leader: LeaderRecord = { inst: '', host: '', token: 0 };
-  private heard = new Map<string, { inst: string; at: number; seq: number; stateOk: boolean }>();
+  private heard = new Map<string, { inst: string; at: number; seq: number; okAt: number }>();
   private types: MachineType[] = [];
   private typesAt = Number.NEGATIVE_INFINITY;
   private typesBusy = false;
@@ -253,21 +256,17 @@
         k: 'ping',
         leader: this.leader.host,
         token: this.leader.token,
-        stateOk: this.stateOk(now),
+        okAgeMs: Math.max(0, now - this.stateOkAt),
       });
   }
 
-  private stateOk(now: number): boolean {
-    return now - this.stateOkAt < this.o.ttlMs;
-  }
-
   /** Ready unless this controller alone is without the state service. */
   ready(): boolean {
     const now = this.o.clock.now();
     if (!this.sys.ready || !this.open.ready) return false;
-    // In an outage for all, siblings learn of it a little later: that alone must not take this one out.
-    if (now - this.stateOkAt < this.o.ttlMs + 2500) return true;
-    for (const h of this.heard.values()) if (now - h.at < 3000 && h.stateOk) return false;
+    // In an outage for all nobody was answered much later than another: that must not take every controller out.
+    for (const h of this.heard.values())
+      if (now - h.at < 3000 && h.okAt > this.stateOkAt + this.o.ttlMs * ALONE) return false;
     return true;
   }
 
@@ -587,8 +586,8 @@
     if (h?.inst === m.inst && m.seq <= h.seq) return;
     if (this.superseded.has(m.inst)) return;
     if (h && h.inst !== m.inst) this.superseded.add(h.inst);
-    const ok = m.body.k === 'ping' ? m.body.stateOk : (h?.stateOk ?? true);
-    this.heard.set(m.host, { inst: m.inst, at: now, seq: m.seq, stateOk: ok });
+    const okAt = m.body.k === 'ping' ? now - m.body.okAgeMs : (h?.okAt ?? Number.NEGATIVE_INFINITY);
+    this.heard.set(m.host, { inst: m.inst, at: now, seq: m.seq, okAt });
     switch (m.body.k) {
       case 'ping':
         if (
--- a/src/io/http.ts
+++ b/src/io/http.ts
@@ -11,12 +11,14 @@
 
 const MOST_BODY = 64 * 1024;
 
-function later(c: Context, reason: string): Response {
+function later(c: Context, reason: string, elsewhere = false): Response {
   c.header('Retry-After', '1');
+  // Their next connection is led to a controller that can serve them.
+  if (elsewhere) c.header('Connection', 'close');
   return c.json({ error: reason }, 503);
 }
 
-function answer(c: Context, id: string, a: DoorAnswer): Response {
+function answer(c: Context, ctl: Controller, id: string, a: DoorAnswer): Response {
   switch (a.s) {
     case 'job':
       return c.json(writeState(id, a), a.created ? 201 : 200);
@@ -25,7 +27,7 @@
     case 'never':
       return c.json({ error: a.reason }, 422);
     case 'later':
-      return later(c, a.reason);
+      return later(c, a.reason, !ctl.ready());
   }
 }
 
@@ -58,13 +60,13 @@
       if (text === null) return c.json({ error: 'body over 64 KiB' }, 400);
       const job = readJob(parse(text), clock.wall());
       if (job.ok)
-        return new Promise((done) => ctl.door.submit(job.spec, (a) => done(answer(c, job.spec.id, a))));
+        return new Promise((done) => ctl.door.submit(job.spec, (a) => done(answer(c, ctl, job.spec.id, a))));
       const id = job.id;
       if (id === null) return c.json({ error: job.reason }, 400);
       // The repeat of an accepted job is answered as one, whatever it holds.
       return new Promise((done) =>
         ctl.door.poll(id, (a) =>
-          done(a.s === 'unknown' ? c.json({ error: job.reason }, 400) : answer(c, id, a)),
+          done(a.s === 'unknown' ? c.json({ error: job.reason }, 400) : answer(c, ctl, id, a)),
         ),
       );
     }),
@@ -73,14 +75,14 @@
     limited(c, () => {
       const id = c.req.param('id');
       if (!isJobId(id)) return Promise.resolve(c.json({ error: 'no such job' }, 404));
-      return new Promise((done) => ctl.door.poll(id, (a) => done(answer(c, id, a))));
+      return new Promise((done) => ctl.door.poll(id, (a) => done(answer(c, ctl, id, a))));
     }),
   );
   app.post('/v2/runs/:id/abort', (c) =>
     limited(c, () => {
       const id = c.req.param('id');
       if (!isJobId(id)) return Promise.resolve(c.json({ error: 'no such job' }, 404));
-      return new Promise((done) => ctl.door.abort(id, (a) => done(answer(c, id, a))));
+      return new Promise((done) => ctl.door.abort(id, (a) => done(answer(c, ctl, id, a))));
     }),
   );
   app.get('/ready', (c) => (ctl.ready() ? c.json({ ready: true }) : later(c, 'not ready')));
--- a/src/io/mesh.ts
+++ b/src/io/mesh.ts
@@ -24,10 +24,11 @@
   const m = v as Partial<MeshMsg>;
   if (typeof m.host !== 'string' || typeof m.inst !== 'string' || typeof m.seq !== 'number') return false;
   const b = m.body as
-    | { k?: unknown; m?: unknown; to?: unknown; token?: unknown; leader?: unknown }
+    | { k?: unknown; m?: unknown; to?: unknown; token?: unknown; leader?: unknown; okAgeMs?: unknown }
     | undefined;
   if (typeof b !== 'object' || b === null) return false;
-  if (b.k === 'ping') return typeof b.token === 'number' && typeof b.leader === 'string';
+  if (b.k === 'ping')
+    return typeof b.token === 'number' && typeof b.leader === 'string' && typeof b.okAgeMs === 'number';
   return (
     (b.k === 'owner' || b.k === 'keeper') &&
     typeof b.to === 'string' &&
