--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -74,6 +74,8 @@
 const COMMANDS_AT_ONCE = 200;
 /** Machines looked at for emptying at a time. */
 const MOST_TRIES = 60;
+/** Part of an aim on waiting after which lower work is stopped for it. */
+const STOP_AFTER = 0.25;
 /** How far ahead places that come free are counted on. */
 const MOST_PATIENCE_S = 120;
 
@@ -111,7 +113,10 @@
   private readonly startedAt: number;
   private readonly serviceShapes = new Map<string, { want: Want; at: number }>();
   /** Classes with an aim on waiting, and the mean size of their jobs. */
-  private readonly waits = new Set<string>();
+  private readonly waits = new Map<string, number>();
+  private guaranteeS = Number.POSITIVE_INFINITY;
+  /** Since when a job's work has found no room. */
+  private readonly unmet = new Map<string, number>();
   private readonly batchShapes = new Map<string, { want: Want; mean: number }>();
   private rentalsOut = new Map<string, Rental>();
   private claims = 0;
@@ -138,7 +143,8 @@
     this.token = o.token;
     this.startedAt = o.clock.now();
     for (const a of o.objectives) {
-      if (a.kind === 'wait') this.waits.add(a.cls);
+      if (a.kind === 'wait') this.waits.set(a.cls, Math.min(a.withinS, this.waits.get(a.cls) ?? a.withinS));
+      if (a.kind === 'guarantee') this.guaranteeS = Math.min(this.guaranteeS, a.withinS);
     }
     this.policyNow = o.policy(this.policyInput());
   }
@@ -948,20 +954,25 @@
         else grants.set(inst, [g]);
       });
     };
-    const finish = (ref: WantRef, count: number): void => {
+    const finish = (ref: WantRef & { inside: boolean }, count: number): void => {
       const { want } = ref;
       const open = place(ref, count, list);
-      if (open <= 0) return;
+      if (open <= 0) return void this.unmet.delete(want.job);
       // Room that stops already under way will free is waited for before more is stopped; what comes into it
       // counts as used, or one task's guarantee would be claimed for all.
       let waiting = fill(promised, want, open, scarce, () => this.addUse(usage, want));
-      if (waiting > 0 && ready) waiting -= this.preempt(want, waiting, usage, now);
+      if (waiting <= 0) return;
+      // Places come free all the time: a moment's wait often saves the work that a stop would lose.
+      const since = this.unmet.get(want.job) ?? now;
+      this.unmet.set(want.job, since);
+      if (ready && now - since >= this.stopAfterMs(want, ref.inside))
+        waiting -= this.preempt(want, waiting, usage, now);
       // What room is being freed for needs no machine.
       if (waiting > 0) left.push({ want, count: waiting });
     };
     // Work that can wait goes first where its image is, as long as nothing that can't wait is before it: a fetch keeps
     // a place about as long as a task does. What finds none takes its turn after the others like it.
-    let cold: { ref: WantRef; count: number }[] = [];
+    let cold: { ref: WantRef & { inside: boolean }; count: number }[] = [];
     let group = '';
     for (const ref of refs) {
       const { want } = ref;
@@ -995,6 +1006,7 @@
     }
     for (const c of cold) finish(c.ref, c.count);
     for (const [inst, g] of grants) this.o.send(inst, { k: 'grants', token: this.token, grants: g });
+    for (const job of this.unmet.keys()) if (!wanted.has(job)) this.unmet.delete(job);
     for (const m of this.reserved)
       if (!m.reserved || !wanted.has(m.reserved.job)) {
         m.reserved = null;
@@ -1060,6 +1072,15 @@
     return out;
   }
 
+  /** How long work waits for places to come free by themselves before others are stopped for it. */
+  private stopAfterMs(w: Want, inside: boolean): number {
+    const aims = [this.waits.get(w.cls) ?? Number.POSITIVE_INFINITY];
+    if (inside) aims.push(this.guaranteeS);
+    const aim = Math.min(...aims);
+    if (Number.isFinite(aim)) return aim * 1000 * STOP_AFTER;
+    return w.service ? 0 : Math.min(5, w.patienceS ?? 0) * 1000;
+  }
+
   /** `less`: CPUs of the team's tasks that are chosen already. */
   private mayStop(w: Want, e: Entry, usage: Map<string, { cpus: number; gpus: number }>, less = 0): boolean {
     if (e.want !== 'run' || e.evicting || e.settled) return false;
