--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -129,6 +129,8 @@
   private nextAsk = 0;
   private nextMove = 0;
   private nextLog = 0;
+  /** What became of the machines looked at for emptying: for the log. */
+  private lastMoves: Record<string, number> = {};
   private listed = false;
   private listing = false;
   private removeBusy = false;
@@ -1470,6 +1472,8 @@
     let free = this.reserveRooms(now).filter((r) => !r.spot);
     const cold = this.coldImages(free, now);
     const taken = new Set<string>();
+    const why = { machines: all.length, room: 0, reserve: 0, cold: 0, moved: 0 };
+    this.lastMoves = why;
     for (const { m, moves } of all.slice(0, MOST_TRIES)) {
       if (taken.has(m.name)) continue;
       const rooms = free.filter((r) => r.name !== m.name).map((r) => ({ ...r }));
@@ -1481,9 +1485,20 @@
         const w: Want = { ...this.wantOf(e, m), zone: m.zone, zoneRoom: {} };
         return fill(here, w, 1, null, (r) => to.push(r.name)) === 0;
       });
-      if (!fit) continue;
-      if (this.reserve().some((x) => fill(rooms, x.want, x.count, this.scarce, () => {}) > 0)) continue;
-      if (this.coldImages(rooms, now) > cold) continue;
+      if (!fit) {
+        why.room++;
+        continue;
+      }
+      const after = rooms.map((r) => ({ ...r }));
+      if (this.reserve().some((x) => fill(after, x.want, x.count, this.scarce, () => {}) > 0)) {
+        why.reserve++;
+        continue;
+      }
+      if (this.coldImages(rooms, now) > cold) {
+        why.cold++;
+        continue;
+      }
+      why.moved++;
       m.leaving = true;
       this.o.log.info(
         { machine: m.name, type: m.type, replicas: moves.length },
@@ -1693,7 +1708,10 @@
       k.services += m.sum.serviceCpus;
       k.batch += m.sum.batch.cpus;
     }
-    this.o.log.info({ kinds, wants: [...this.wants.values()].reduce((n, l) => n + l.length, 0) }, 'fleet');
+    this.o.log.info(
+      { kinds, moves: this.lastMoves, wants: [...this.wants.values()].reduce((n, l) => n + l.length, 0) },
+      'fleet',
+    );
   }
 
   tick(): void {
