--- a/src/core/autoscale.ts
+++ b/src/core/autoscale.ts
@@ -1,4 +1,4 @@
-import { allowed, emptyRoom, fill, type Room, slots } from './room.js';
+import { allowed, emptyRoom, fill, fits, type Room, slots, take } from './room.js';
 import type { MachineType, Want } from './types.js';
 
 export interface Rental {
@@ -69,13 +69,13 @@
   // rented again and again for replicas that may not use them.
   const rest = i.left.map((l) => {
     const want: Want = { ...l.want, zoneRoom: l.want.zoneRoom ? { ...l.want.zoneRoom } : null };
-    return { want, count: plan(rooms, want, Math.ceil(l.count / runsEach(i, want)), i.scarceZone) };
+    return { want, count: plan(i, rooms, want, l.count) };
   });
   const calls = () => [...out.values()].reduce((n, r) => n + Math.ceil(r.n / MOST_A_CALL), 0);
   for (let k = 0; k < rest.length && calls() < i.maxCalls; k++) {
     const { want } = rest[k]!;
     // Room rented for an earlier want may have space for this one.
-    let count = plan(rooms, want, rest[k]!.count, i.scarceZone);
+    let count = plan(i, rooms, want, rest[k]!.count);
     let guard = 64;
     while (count > 0 && calls() < i.maxCalls && guard-- > 0) {
       const c = cheapest(i, want, Math.max(count, similar(rest, k)));
@@ -84,7 +84,8 @@
       const r = out.get(key) ?? { type: c.type.name, zone: c.zone, spot: c.spot, n: 0 };
       // As many as this want fills, in one go; spread and joined jobs choose their zones machine by machine.
       const alone = want.whole || want.zoneRoom !== null || want.together;
-      const n = alone ? 1 : Math.max(1, Math.floor(count / Math.max(1, slots(c.type, want))));
+      const each = Math.max(1, slots(c.type, want)) * runsEach(c.type, want);
+      const n = alone ? 1 : Math.max(1, Math.floor(count / each));
       const more = Math.min(
         n,
         MOST_A_CALL * (i.maxCalls - calls()) + ((MOST_A_CALL - (r.n % MOST_A_CALL)) % MOST_A_CALL),
@@ -94,10 +95,10 @@
       const fresh: Room[] = [];
       for (let x = 0; x < more; x++) fresh.push(emptyRoom(c.type, c.zone, c.spot, ''));
       const before = count;
-      count = plan(fresh, want, count, i.scarceZone);
+      count = plan(i, fresh, want, count);
       for (const x of fresh) if (x.cpus > 1e-9) rooms.push(x);
       if (count === before && !want.whole) break;
-      if (want.whole) count = plan(rooms, want, count, i.scarceZone);
+      if (want.whole) count = plan(i, rooms, want, count);
     }
   }
   return [...out.values()].flatMap((r) => {
@@ -107,19 +108,36 @@
   });
 }
 
-function plan(rooms: Room[], w: Want, count: number, scarceZone: string | null): number {
+/** Takes room for tasks of a want; returns how many are left without. */
+function plan(i: ScaleInput, rooms: Room[], w: Want, count: number): number {
+  if (w.slackS !== null && !w.service && !w.whole && !w.zoneRoom && !w.together)
+    return planRuns(i, rooms, w, count);
   const used: string[] = [];
-  const left = fill(rooms, w, count, scarceZone, (r) => used.push(r.zone));
+  const left = fill(rooms, w, count, i.scarceZone, (r) => used.push(r.zone));
   if (w.zoneRoom) for (const z of used) w.zoneRoom[z] = (w.zoneRoom[z] ?? w.zoneCap) - 1;
   return left;
 }
 
-/** How many tasks of a want a place on a machine rented now can run one after the other before its aim. */
-function runsEach(i: ScaleInput, w: Want): number {
+/** The same for work with time before its aim: a place takes as many of its tasks as it can run one after another. */
+function planRuns(i: ScaleInput, rooms: Room[], w: Want, count: number): number {
+  const types = new Map(i.types.map((t) => [t.name, t]));
+  let left = count;
+  for (const r of rooms) {
+    if (left <= 0) break;
+    const t = types.get(r.type);
+    if (!t || !fits(r, w) || !allowed(r, w) || w.avoid.includes(r.name)) continue;
+    if (w.spotOnly && !r.spot) continue;
+    const each = runsEach(t, w);
+    const n = Math.min(slots(r, w), Math.ceil(left / each));
+    for (let k = 0; k < n; k++) take(r, w);
+    left -= n * each;
+  }
+  return Math.max(0, left);
+}
+
+function runsEach(t: MachineType, w: Want): number {
   if (w.slackS === null || w.service || w.whole || w.estimateS <= 0) return 1;
-  let wait = 0;
-  for (const t of i.types)
-    if (slots(t, w) >= 1) wait = Math.max(wait, t.bootS + w.imageGb / Math.max(0.01, t.fetchGbPerS));
+  const wait = t.bootS + w.imageGb / Math.max(0.01, t.fetchGbPerS);
   return Math.max(1, Math.min(8, Math.floor((w.slackS - wait) / (w.estimateS * 1.3))));
 }
 
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -1264,6 +1264,10 @@
     const scarce = this.scarce;
     // The reserve may lie in room that lower work uses now and would be stopped for.
     const rooms = this.reserveRooms(now);
+    // Services whose room lower work will make are not rented for; that work may be.
+    const open = left
+      .map((l) => (l.want.service ? { ...l, count: fill(rooms, l.want, l.count, scarce, () => {}) } : l))
+      .filter((l) => l.count > 0);
     const spare = new Set<string>();
     const phantom = this.reserve()
       .map((x) => ({ want: x.want, count: fill(rooms, x.want, x.count, scarce, (r) => spare.add(r.name)) }))
@@ -1272,7 +1276,7 @@
     for (const name of this.rescue.keys())
       if (!this.machines.has(name) || now - this.machines.get(name)!.heardAt < 3000) this.rescue.delete(name);
     const rescued = [...this.rescue.values()].flat().map((want) => ({ want, count: 1 }));
-    const need = [...this.afterWaiting(left, now), ...rescued, ...phantom, ...this.cheaper(now)];
+    const need = [...this.afterWaiting(open, now), ...rescued, ...phantom, ...this.cheaper(now)];
     // A new keeper lets the list, the reports and the owners speak first.
     const settled = this.o.first || (this.listed && now - this.startedAt > this.o.listLagS * 1000);
     if (need.length > 0 && settled && this.allSynced()) {
