--- /dev/null
+++ b/test/standin/keeper.ts
@@ -0,0 +1,167 @@
+import { Keeper } from '../../src/core/keeper.js';
+import type {
+  Held,
+  KeeperMsg,
+  ListedMachine,
+  Result,
+  TaskReport,
+  Want,
+  WorkerCommand,
+  WorkerReport,
+} from '../../src/core/types.js';
+import { TEAMS, TYPES } from './world.js';
+
+/** A keeper alone, with hand-made reports and a worker whose answers the test decides on. */
+export function keeper(token: number) {
+  let now = 0;
+  const said: KeeperMsg[] = [];
+  const calls: { cmds: WorkerCommand[]; cb: (r: Result<WorkerReport>) => void }[] = [];
+  const raised: string[] = [];
+  const removed: string[] = [];
+  const list: ListedMachine[] = [];
+  const k = new Keeper({
+    inst: 'a',
+    token,
+    teams: new Map(TEAMS.map((t) => [t.name, t])),
+    workers: { reportS: 2, leaseS: 20, cancelS: 40 },
+    listLagS: 3,
+    cloudRps: 5,
+    objectives: [],
+    first: true,
+    clock: { now: () => now, wall: () => now, after: () => () => {}, soon: () => {}, random: () => 0 },
+    log: { debug: () => {}, info: () => {}, error: () => {} },
+    cloud: {
+      types: () => {},
+      rent: () => {},
+      remove: (names) => removed.push(...names),
+      list: (_s, cb) => cb({ ok: true, value: { machines: list, more: false } }),
+    },
+    worker: { commands: (_a, _t, _s, cmds, cb) => calls.push({ cmds, cb }) },
+    types: () => TYPES,
+    policy: () => ({
+      reserve_replicas: 0,
+      reserve_batch: 0,
+      idle_s: 60,
+      amortize_s: 60,
+      amortize_service_s: 60,
+      boot_patience: 3,
+      silent_s: 60,
+      silent_share: 0.5,
+      batch_tasks: 10,
+      parting_s: 30,
+      patience_s: 10,
+    }),
+    entitled: () => true,
+    send: (_i, m) => said.push(m),
+    wake: () => {},
+    deposed: () => {},
+    resign: () => {},
+    raise: (why) => raised.push(why),
+  });
+  k.setOwners(new Map(TEAMS.map((t) => [t.name, { inst: 'o', gen: 1 }])));
+  k.fromOwner({
+    k: 'sync',
+    token,
+    inst: 'o',
+    sync: 1,
+    parts: 1,
+    part: 0,
+    gens: { red: 1, blue: 1, free: 1 },
+    held: [],
+    wants: [],
+  });
+  let tally = 0;
+  const report = (tasks: TaskReport[], seen = token, over: Partial<WorkerReport> = {}) =>
+    k.report({
+      machine: 'm',
+      addr: 'm',
+      type: 'small',
+      zone: 'a',
+      spot: false,
+      season: 1,
+      tally: ++tally,
+      token: seen,
+      noticeS: null,
+      tasks,
+      ...over,
+    });
+  const held = (want: Held['want']): Held => ({
+    job: 'wk-1',
+    idx: 0,
+    attempt: 1,
+    machine: 'm',
+    season: 1,
+    want,
+    graceS: 0,
+    team: 'red',
+    rank: 2,
+    gang: false,
+    service: false,
+    cpus: 1,
+    gpus: 0,
+    mem: 1,
+    image: 'i',
+    imageGb: 1,
+    estimateS: 5,
+    types: null,
+    spread: false,
+    grant: 0,
+  });
+  const hold = (h: Held) => {
+    k.fromOwner({ k: 'held', token, inst: 'o', held: [h] });
+    k.flush();
+  };
+  const tell = (want: Held['want']) => hold(held(want));
+  const wants = (list: Want[]) => k.fromOwner({ k: 'wants', token, inst: 'o', wants: list });
+  const settled = () => {
+    k.flush();
+    return said.some((m) => m.k === 'seen' && m.seen.some((s) => s.s === 'settled'));
+  };
+  const later = (ms: number) => {
+    now += ms;
+    k.tick();
+  };
+  const grants = () => {
+    k.flush();
+    return said.flatMap((m) => (m.k === 'grants' ? m.grants.map((g) => g.job) : []));
+  };
+  return { k, said, calls, report, held, hold, tell, wants, settled, later, raised, removed, list, grants };
+}
+export const listed = (phase: 'running' | 'exited'): TaskReport => ({
+  job: 'wk-1',
+  idx: 0,
+  attempt: 1,
+  phase,
+  why: phase === 'exited' ? 'done' : null,
+  saved: false,
+});
+
+export const makeWant = (id: string, over: Partial<Want> = {}): Want => ({
+  job: id,
+  team: 'red',
+  cls: 'c',
+  rank: 2,
+  order: 1,
+  stage: 0,
+  count: 1,
+  whole: false,
+  service: false,
+  cpus: 1,
+  gpus: 0,
+  mem: 1,
+  image: 'i',
+  imageGb: 1,
+  estimateS: 5,
+  types: null,
+  spot: true,
+  zone: null,
+  together: false,
+  zoneRoom: null,
+  zoneCap: 1,
+  avoid: [],
+  near: '',
+  patienceS: null,
+  slackS: null,
+  seen: 0,
+  ...over,
+});
