--- a/src/core/autoscale.ts
+++ b/src/core/autoscale.ts
@@ -43,11 +43,7 @@
   }
 }
 
-export interface ScaleInput {
-  /** Wants that found no room, in order of rank, with the number of tasks left. */
-  left: { want: Want; count: number }[];
-  /** Rooms of machines that are rented and not yet up. */
-  coming: Room[];
+export interface PriceInput {
   types: MachineType[];
   capacity: Capacity;
   now: number;
@@ -55,6 +51,13 @@
   amortizeS: number;
   amortizeServiceS: number;
   scarceZone: string | null;
+}
+
+export interface ScaleInput extends PriceInput {
+  /** Wants that found no room, in order of rank, with the number of tasks left. */
+  left: { want: Want; count: number }[];
+  /** Rooms of machines that are rented and not yet up. */
+  coming: Room[];
   /** Calls to the cloud that may be made now, each for up to `MOST_A_CALL` machines of one kind. */
   maxCalls: number;
 }
@@ -152,8 +155,8 @@
   return Math.ceil(n);
 }
 
-function cheapest(
-  i: ScaleInput,
+export function cheapest(
+  i: PriceInput,
   w: Want,
   count: number,
 ): { type: MachineType; zone: string; spot: boolean } | null {
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -1,4 +1,4 @@
-import { Capacity, planRentals, type Rental } from './autoscale.js';
+import { Capacity, cheapest, type PriceInput, planRentals, type Rental } from './autoscale.js';
 import {
   type Entry,
   emptySum,
@@ -245,8 +245,21 @@
       for (const e of m.entries.values()) if (teams.has(e.team)) this.tell(m, e);
   }
 
+  /** Its slack less its run, with room for estimates that are too low, and the fetch of its image. */
+  private patience(w: Want): number | null {
+    if (w.slackS === null || w.service || w.whole) return null;
+    return Math.max(0, w.slackS - 1.75 * w.estimateS - this.fetchS(w));
+  }
+
+  private fetchS(w: { imageGb: number }): number {
+    let slowest = Number.POSITIVE_INFINITY;
+    for (const t of this.o.types()) slowest = Math.min(slowest, t.fetchGbPerS);
+    return Number.isFinite(slowest) ? w.imageGb / Math.max(0.01, slowest) : 0;
+  }
+
   private setWants(inst: string, wants: Want[]): void {
     const old = new Set(this.wants.get(inst)?.map((w) => w.job));
+    for (const w of wants) w.patienceS = this.patience(w);
     for (const w of wants)
       if (!w.service && !w.whole && !old.has(w.job) && this.waits.has(w.cls)) {
         const b = this.batchShapes.get(w.cls);
@@ -1250,7 +1263,6 @@
     const types = this.o.types();
     if (types.length === 0 || !this.o.entitled()) return;
     const byName = this.types;
-    const p = this.policyNow;
     const coming: Room[] = [];
     for (const m of this.machines.values()) {
       const t = byName.get(m.type);
@@ -1283,12 +1295,7 @@
       const plan = planRentals({
         left: need,
         coming,
-        types,
-        capacity: this.capacity,
-        now,
-        amortizeS: p.amortize_s,
-        amortizeServiceS: p.amortize_service_s,
-        scarceZone: scarce,
+        ...this.prices(now),
         maxCalls: Math.max(2, Math.floor(this.o.cloudRps)),
       });
       for (const r of plan) this.rent(r);
@@ -1296,6 +1303,17 @@
     this.returnIdle(now, left);
   }
 
+  private prices(now: number): PriceInput {
+    return {
+      types: this.o.types(),
+      capacity: this.capacity,
+      now,
+      amortizeS: this.policyNow.amortize_s,
+      amortizeServiceS: this.policyNow.amortize_service_s,
+      scarceZone: this.scarce,
+    };
+  }
+
   /**
    * Work that running tasks will make room for soon enough needs no machine. Places come free as estimates say, each is
    * taken by the first want that can wait for it, and comes free again when that one's task has run.
@@ -1310,16 +1328,20 @@
       if (m.sum.batchTasks === 0 || m.removing || m.leaveAt !== null) continue;
       for (const e of m.entries.values()) {
         if (e.service || !takesRoom(e) || e.estimateS <= 0) continue;
-        const ran = e.listed?.phase === 'running' ? (now - e.since) / 1000 : 0;
+        const running = e.listed?.phase === 'running';
+        const left = running ? e.estimateS - (now - e.since) / 1000 : e.estimateS + this.fetchS(e) / 2;
         // One that has outrun its estimate is likely to go on for a part of it.
-        put(Math.max(e.estimateS - ran, e.estimateS * 0.3), e.cpus);
+        put(Math.max(left, e.estimateS * 0.3), e.cpus);
       }
     }
     const out: { want: Want; count: number }[] = [];
     for (const { want, count } of left) {
       let open = count;
       if (!want.service && !want.whole && want.cpus > 0 && want.spot) {
-        const patience = Math.max(this.policyNow.patience_s, want.patienceS ?? 0);
+        // A place that comes free before a machine rented now would be up is as good as that machine.
+        const at = cheapest(this.prices(now), want, open);
+        const boot = at ? at.type.bootS + want.imageGb / Math.max(0.01, at.type.fetchGbPerS) : 0;
+        const patience = Math.max(this.policyNow.patience_s, want.patienceS ?? 0, boot);
         const until = Math.min(MOST_PATIENCE_S, patience);
         for (let k = 0; k <= until && open > 0; k++) {
           const n = Math.min(open, Math.floor(freed[k]! / want.cpus + 1e-9));
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -827,24 +827,12 @@
     return s.shape !== 'service' && wall - s.at > MOST_KEPT_MS && j.count.n + j.placed.size < s.tasks;
   }
 
-  /**
-   * What is left of its aim once its tasks have run, with as much again for machines to come up and for estimates that
-   * are too low.
-   */
-  private patience(j: Job): number | null {
-    const s = j.spec;
-    const ageS = (this.o.clock.wall() - s.at) / 1000;
-    if (s.deadlineS !== null) return Math.max(0, s.deadlineS / 2 - ageS - s.estimateS);
-    const aims = this.finish.get(s.cls);
-    if (!aims || s.shape === 'service') return null;
-    return Math.max(0, (aims[0] ?? 0) / 2 - ageS - 2 * s.estimateS);
-  }
-
+  /** What is left until its aim or deadline, less a margin. */
   private slack(j: Job): number | null {
     const s = j.spec;
     const aim = s.deadlineS ?? (s.shape === 'service' ? undefined : this.finish.get(s.cls)?.[0]);
     if (aim === undefined) return null;
-    const left = aim * 0.75 - (this.o.clock.wall() - s.at) / 1000;
+    const left = aim * 0.8 - (this.o.clock.wall() - s.at) / 1000;
     return left > 0 ? left : null;
   }
 
@@ -897,7 +885,7 @@
       zoneCap: cap,
       avoid,
       near: j.near,
-      patienceS: this.patience(j),
+      patienceS: null,
       slackS: this.slack(j),
       seen: this.lastGrant,
     };
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -122,7 +122,7 @@
   /** Machines on which this job failed lately. */
   avoid: string[];
   near: string;
-  /** So long it may still wait for places without putting its aim or deadline at risk; null: it has none. */
+  /** So long it may still wait for places without putting its aim at risk: the keeper's reckoning; null: it has none. */
   patienceS: number | null;
   /** So long from now its tasks may take to be done in time with some margin; null: no aim, or past it. */
   slackS: number | null;
