--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -72,6 +72,9 @@
 }
 
 const COMMANDS_AT_ONCE = 200;
+/** Moves of replicas earned at each look for machines to empty, per running replica, and most saved up. */
+const MOVES_PER_REPLICA = 0.004;
+const MOST_MOVES = 8;
 /** Machines looked at for emptying at a time. */
 const MOST_TRIES = 60;
 /** Part of an aim on waiting after which lower work is stopped for it. */
@@ -129,6 +132,7 @@
   private nextAsk = 0;
   private nextMove = 0;
   private nextLog = 0;
+  private moveCredit = 0;
   /** What became of the machines looked at for emptying: for the log. */
   private lastMoves: Record<string, number> = {};
   private listed = false;
@@ -971,7 +975,15 @@
     };
     const finish = (ref: WantRef & { inside: boolean }, count: number): void => {
       const { want } = ref;
-      const open = place(ref, count, list);
+      let open = count;
+      if (want.service) {
+        // A replica that has to fetch its image is late by far more than one that waits for a task to stop.
+        const warm = (r: Room) => r.images?.has(want.image) === true;
+        open = place(ref, open, list.filter(warm));
+        if (open > 0) open = fill(promised.filter(warm), want, open, scarce, () => this.addUse(usage, want));
+        if (open > 0 && ready) open -= this.preempt(want, open, usage, now, true);
+      }
+      open = place(ref, open, list);
       if (open <= 0) return void this.unmet.delete(want.job);
       // Room that stops already under way will free is waited for before more is stopped; what comes into it
       // counts as used, or one task's guarantee would be claimed for all.
@@ -1079,7 +1091,6 @@
       r.cpus += s.cpus;
       r.gpus += s.gpus;
       r.mem += s.mem;
-      r.images = null;
       r.penalty = 0;
       r.reserved = null;
       out.push(r);
@@ -1089,11 +1100,12 @@
 
   /** How long work waits for places to come free by themselves before others are stopped for it. */
   private stopAfterMs(w: Want, inside: boolean): number {
+    if (w.service) return 0;
     const aims = [this.waits.get(w.cls) ?? Number.POSITIVE_INFINITY];
     if (inside) aims.push(this.guaranteeS);
     const aim = Math.min(...aims);
     if (Number.isFinite(aim)) return aim * 1000 * STOP_AFTER;
-    return w.service ? 0 : Math.min(5, w.patienceS ?? 0) * 1000;
+    return Math.min(5, w.patienceS ?? 0) * 1000;
   }
 
   /** `less`: CPUs of the team's tasks that are chosen already. */
@@ -1155,6 +1167,7 @@
     count: number,
     usage: Map<string, { cpus: number; gpus: number }>,
     now: number,
+    warmOnly = false,
   ): number {
     if (w.whole) return 0;
     const inside = this.within(usage.get(w.team), w.team, w);
@@ -1165,7 +1178,7 @@
     type Pick = { m: Machine; victims: Entry[]; cost: number };
     const offers: Pick[] = [];
     for (const m of this.machines.values()) {
-      if (m.sum.batch.cpus <= 0 || !this.usable(m, now)) continue;
+      if (m.sum.batch.cpus <= 0 || (warmOnly && !m.images.has(w.image)) || !this.usable(m, now)) continue;
       const o = this.offer(m, w, usage, now);
       if (o) offers.push(o);
     }
@@ -1492,8 +1505,9 @@
       all.push({ m, moves, gain: t.price / moves.length });
     }
     all.sort((a, b) => b.gain - a.gain);
-    let most = Math.ceil(this.machines.size / 60) - going;
-    if (most <= 0) return;
+    // Each move costs a replica a moment: no more of them than users would notice.
+    this.moveCredit = Math.min(MOST_MOVES, this.moveCredit + this.total.services * MOVES_PER_REPLICA);
+    if (going >= Math.ceil(this.machines.size / 60)) return;
     // Lower work is stopped for them if need be: it is cheaper to run elsewhere.
     let free = this.reserveRooms(now).filter((r) => !r.spot);
     const cold = this.coldImages(free, now);
@@ -1501,7 +1515,7 @@
     const why = { machines: all.length, room: 0, reserve: 0, cold: 0, moved: 0 };
     this.lastMoves = why;
     for (const { m, moves } of all.slice(0, MOST_TRIES)) {
-      if (taken.has(m.name)) continue;
+      if (taken.has(m.name) || moves.length > this.moveCredit) continue;
       const rooms = free.filter((r) => r.name !== m.name).map((r) => ({ ...r }));
       const to: string[] = [];
       const fit = moves.every((e) => {
@@ -1531,7 +1545,7 @@
         'replicas move to empty a machine',
       );
       this.evictAll(moves, now, `${m.name} is emptied`);
-      if (--most <= 0) return;
+      this.moveCredit -= moves.length;
       free = rooms;
       for (const name of to) taken.add(name);
     }
