--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -842,7 +842,8 @@
     // Before all that may still stand back, in release order.
     if (this.kept(j, this.o.clock.wall())) return s.at - 10 * MOST_BACK_MS;
     const back = (2000 * s.estimateS * (s.tasks - j.count.n)) / Math.max(10, this.usage(s.team).batch);
-    return s.at + Math.min(MOST_BACK_MS, back);
+    // Who must start first to be in time goes first: long tasks before short ones of the same age.
+    return s.at + Math.min(MOST_BACK_MS, back) - Math.min(MOST_BACK_MS, 1750 * s.estimateS);
   }
 
   private want(j: Job, open: number, now: number): Want {
