--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,4 +1,5 @@
 import { Door } from './door.js';
+import { type ImageFact, ImageFacts } from './images.js';
 import { Keeper } from './keeper.js';
 import { Mirror } from './mirror.js';
 import { Owner } from './owner.js';
@@ -22,6 +23,7 @@
 /** What controllers say to one another. */
 export type MeshBody =
   | { k: 'ping'; leader: string; token: number; okAgeMs: number }
+  | { k: 'images'; add: ImageFact[]; gone: string[] }
   | { k: 'owner'; to: string; m: OwnerMsg }
   | { k: 'keeper'; to: string; m: KeeperMsg };
 export interface MeshMsg {
@@ -74,6 +76,8 @@
 /** Least time between two watches of the open jobs, which change several times a second. */
 const OPEN_GAP_MS = 100;
 
+/** Most facts about images in one message. */
+const IMAGES_PART = 2000;
 /** Part of a lease by which a sibling's last answer from the state service must be later than this one's own. */
 const ALONE = 0.6;
 
@@ -251,6 +255,9 @@
     this.part(now);
     this.learnTypes(now);
     this.keeper?.tick();
+    const news = this.images.news();
+    if (this.keeper && news.add.length + news.gone.length > 0)
+      for (const p of this.o.peers) this.meshSend(p, { k: 'images', ...news });
     for (const p of this.o.peers)
       this.meshSend(p, {
         k: 'ping',
@@ -398,6 +405,7 @@
       workers: this.o.workers,
       listLagS: this.o.listLagS,
       cloudRps: this.o.cloudRps,
+      images: this.images,
       objectives: this.o.objectives,
       first: rec.token === 1,
       clock: this.o.clock,
@@ -599,6 +607,9 @@
           this.stepDown('a sibling knows a later leader');
         if (m.body.token > this.hint.token) this.hint = { host: m.body.leader, token: m.body.token };
         return;
+      case 'images':
+        if (!this.keeper) this.images.take(m.body.add, m.body.gone);
+        return;
       case 'owner':
         if (m.body.to === this.o.inst) this.keeper?.fromOwner(m.body.m);
         return;
@@ -608,13 +619,19 @@
     }
   }
 
+  /** The keeper's knowledge of images, for whoever leads next. */
+  private readonly images = new ImageFacts();
   private hint = { host: '', token: 0 };
 
   /** Our own connection to a sibling was made anew: what was under way may be lost. */
   private link(host: string, up: boolean): void {
     if (!up) return;
     if (this.leader.host === host) this.owner.resync();
-    if (this.keeper) for (const [inst, h] of this.nodes()) if (h === host) this.keeper.unsync(inst);
+    if (!this.keeper) return;
+    for (const [inst, h] of this.nodes()) if (h === host) this.keeper.unsync(inst);
+    const all = this.images.all();
+    for (let i = 0; i < all.length; i += IMAGES_PART)
+      this.meshSend(host, { k: 'images', add: all.slice(i, i + IMAGES_PART), gone: [] });
   }
 
   // ---- workers ----------------------------------------------------------------------------------------------
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -1,4 +1,5 @@
 import { Capacity, cheapest, type PriceInput, planRentals, type Rental } from './autoscale.js';
+import type { ImageFacts } from './images.js';
 import {
   type Entry,
   emptySum,
@@ -10,7 +11,7 @@
   takesRoom,
 } from './machine.js';
 import type { Policy, PolicyInput } from './policy.js';
-import { allowed, emptyRoom, fill, fits, type Room, take } from './room.js';
+import { allowed, emptyRoom, fill, fits, type Room, slots, take } from './room.js';
 import type {
   Clock,
   CloudPort,
@@ -39,6 +40,7 @@
   listLagS: number;
   /** Calls a second that the cloud takes. */
   cloudRps: number;
+  images: ImageFacts;
   objectives: Objective[];
   /** A first keeper ever finds no machines of an earlier one on their way. */
   first: boolean;
@@ -430,6 +432,7 @@
     let m = this.machines.get(name);
     if (!m) {
       m = newMachine(name, this.o.clock.now());
+      for (const [image, gb] of this.o.images.of(name) ?? []) m.images.set(image, gb);
       this.machines.set(name, m);
     }
     return m;
@@ -555,6 +558,7 @@
     if (t.phase === 'running' || t.phase === 'waiting') {
       m.images.delete(e.image);
       m.images.set(e.image, e.imageGb);
+      this.o.images.learn(m.name, e.image, e.imageGb);
       this.trimImages(m);
       if (t.phase === 'running') e.since = now;
     }
@@ -792,6 +796,7 @@
   /** The cloud answered the deletion: the machine and all on it are gone. */
   private machineGone(name: string): void {
     this.gone.add(name);
+    this.o.images.forget(name);
     if (this.gone.size > 20000) for (const x of [...this.gone].slice(0, 5000)) this.gone.delete(x);
     const m = this.machines.get(name);
     if (!m) return;
@@ -1259,15 +1264,33 @@
     return [...zones].map((zone) => ({ want: { ...base, zone, zoneRoom: {}, zoneCap: per }, count: per }));
   }
 
-  /** Images of services for which no free room has the image: their next replica would wait for its fetch. */
-  private coldImages(rooms: Room[], now: number): number {
-    let cold = 0;
+  /** Places with their image that the replicas of services will want next: their part of the reserve. */
+  private warmWanted(now: number): { want: Want; n: number }[] {
+    const running = new Map<string, number>();
+    for (const m of this.machines.values()) {
+      if (m.sum.services === 0) continue;
+      for (const e of m.entries.values())
+        if (e.service && takesRoom(e)) running.set(e.image, (running.get(e.image) ?? 0) + 1);
+    }
+    const out: { want: Want; n: number }[] = [];
     for (const s of this.serviceShapes.values()) {
       if (now - s.at > 600000) continue;
-      const warm = rooms.some(
-        (r) => !r.spot && r.images?.has(s.want.image) && r.cpus >= s.want.cpus && r.mem >= s.want.mem,
-      );
-      if (!warm) cold++;
+      const part = (running.get(s.want.image) ?? 0) / Math.max(1, this.total.services);
+      out.push({ want: s.want, n: Math.max(1, Math.ceil(this.policyNow.reserve_replicas * part)) });
+    }
+    return out;
+  }
+
+  /** How many of them no room has: such replicas would wait for a fetch. */
+  private coldPlaces(rooms: Room[], wanted: { want: Want; n: number }[]): number {
+    let cold = 0;
+    for (const { want, n } of wanted) {
+      let warm = 0;
+      for (const r of rooms) {
+        if (!r.spot && r.images?.has(want.image)) warm += slots(r, want);
+        if (warm >= n) break;
+      }
+      cold += Math.max(0, n - warm);
     }
     return cold;
   }
@@ -1453,11 +1476,16 @@
     const keep = (r: Room) => void idle.delete(r.name);
     const plain = rooms.map((r) => ({ ...r }));
     for (const x of this.reserve()) fill(rooms, x.want, x.count, this.scarce, keep);
-    for (const s of this.serviceShapes.values()) {
-      if (now - s.at > 600000) continue;
-      const warm = plain.filter((r) => !r.spot && r.images?.has(s.want.image) && fits(r, s.want));
-      if (warm.some((r) => !idle.has(r.name))) continue;
-      if (warm[0]) keep(warm[0]);
+    for (const { want, n } of this.warmWanted(now)) {
+      const warm = plain.filter((r) => !r.spot && r.images?.has(want.image) && fits(r, want));
+      let have = 0;
+      for (const r of warm) if (!idle.has(r.name)) have += slots(r, want);
+      for (const r of warm) {
+        if (have >= n) break;
+        if (!idle.has(r.name)) continue;
+        have += slots(r, want);
+        keep(r);
+      }
     }
     for (const m of idle.values()) this.remove(m, 'idle');
   }
@@ -1502,7 +1530,8 @@
       const moves = [...m.entries.values()].filter((e) => e.service && takesRoom(e));
       if (moves.some((e) => e.want !== 'run' || e.listed?.phase !== 'running' || now - e.since < 35000))
         continue;
-      all.push({ m, moves, gain: t.price / moves.length });
+      // One that holds many images is worth more as a place for the next replicas.
+      all.push({ m, moves, gain: t.price / moves.length / (1 + m.images.size / 10) });
     }
     all.sort((a, b) => b.gain - a.gain);
     // Each move costs a replica a moment: no more of them than users would notice.
@@ -1510,7 +1539,8 @@
     if (going >= Math.ceil(this.machines.size / 60)) return;
     // Lower work is stopped for them if need be: it is cheaper to run elsewhere.
     let free = this.reserveRooms(now).filter((r) => !r.spot);
-    const cold = this.coldImages(free, now);
+    const wanted = this.warmWanted(now);
+    let cold = this.coldPlaces(free, wanted);
     const taken = new Set<string>();
     const why = { machines: all.length, room: 0, reserve: 0, cold: 0, moved: 0 };
     this.lastMoves = why;
@@ -1534,10 +1564,12 @@
         why.reserve++;
         continue;
       }
-      if (this.coldImages(rooms, now) > cold) {
+      const then = this.coldPlaces(rooms, wanted);
+      if (then > cold) {
         why.cold++;
         continue;
       }
+      cold = then;
       why.moved++;
       m.leaving = true;
       this.o.log.info(
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -55,6 +55,8 @@
   if (r.images && !r.images.has(w.image)) v += w.imageGb / Math.max(0.01, r.fetchGbPerS);
   // Fullest machine first, so that others empty and can be returned.
   v += (2 * (r.cpus - w.cpus)) / Math.max(1, r.totalCpus);
+  // Replicas leave the room of machines with many images to those that come next.
+  if (w.service && r.images) v += 0.1 * r.images.size;
   // A small machine is given back sooner than a big one is emptied.
   if (w.near === r.name) v -= 1;
   // Work that may use cheap machines leaves the ordinary ones to work that may not.
--- a/src/io/mesh.ts
+++ b/src/io/mesh.ts
@@ -18,17 +18,34 @@
   return { host: addr.slice(0, cut), port: Number(addr.slice(cut + 1)) };
 }
 
+function isFacts(v: unknown): boolean {
+  const fact = (x: unknown) =>
+    Array.isArray(x) && typeof x[0] === 'string' && typeof x[1] === 'string' && typeof x[2] === 'number';
+  return Array.isArray(v) && v.every(fact);
+}
+
 /** A message of the shape that controllers send; anything else is dropped. */
 export function isMeshMsg(v: unknown): v is MeshMsg {
   if (typeof v !== 'object' || v === null) return false;
   const m = v as Partial<MeshMsg>;
   if (typeof m.host !== 'string' || typeof m.inst !== 'string' || typeof m.seq !== 'number') return false;
   const b = m.body as
-    | { k?: unknown; m?: unknown; to?: unknown; token?: unknown; leader?: unknown; okAgeMs?: unknown }
+    | {
+        k?: unknown;
+        m?: unknown;
+        to?: unknown;
+        token?: unknown;
+        leader?: unknown;
+        okAgeMs?: unknown;
+        add?: unknown;
+        gone?: unknown;
+      }
     | undefined;
   if (typeof b !== 'object' || b === null) return false;
   if (b.k === 'ping')
     return typeof b.token === 'number' && typeof b.leader === 'string' && typeof b.okAgeMs === 'number';
+  if (b.k === 'images')
+    return isFacts(b.add) && Array.isArray(b.gone) && b.gone.every((x) => typeof x === 'string');
   return (
     (b.k === 'owner' || b.k === 'keeper') &&
     typeof b.to === 'string' &&
--- a/test/standin/keeper.ts
+++ b/test/standin/keeper.ts
@@ -1,3 +1,4 @@
+import { ImageFacts } from '../../src/core/images.js';
 import { Keeper } from '../../src/core/keeper.js';
 import type {
   Held,
@@ -26,6 +27,7 @@
     workers: { reportS: 2, leaseS: 20, cancelS: 40 },
     listLagS: 3,
     cloudRps: 5,
+    images: new ImageFacts(),
     objectives: [],
     first: true,
     clock: { now: () => now, wall: () => now, after: () => () => {}, soon: () => {}, random: () => 0 },
