--- a/src/core/autoscale.ts
+++ b/src/core/autoscale.ts
@@ -63,6 +63,8 @@
 }
 
 const MOST_A_CALL = 50;
+/** Part of an aim kept in hand. */
+export const AIM_MARGIN = 0.2;
 
 /** Chooses rentals for work without room: the cheapest place per task, boot and image fetch included. */
 export function planRentals(i: ScaleInput): Rental[] {
@@ -141,7 +143,8 @@
 function runsEach(t: MachineType, w: Want): number {
   if (w.slackS === null || w.service || w.whole || w.estimateS <= 0) return 1;
   const wait = t.bootS + w.imageGb / Math.max(0.01, t.fetchGbPerS);
-  return Math.max(1, Math.min(8, Math.floor((w.slackS - wait) / (w.estimateS * 1.3))));
+  const left = w.slackS - (w.aimS ?? 0) * AIM_MARGIN - wait;
+  return Math.max(1, Math.min(8, Math.floor(left / (w.estimateS * 1.3))));
 }
 
 /** Tasks of this and later wants that could share a machine rented for this one. */
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -1,4 +1,4 @@
-import { Capacity, cheapest, type PriceInput, planRentals, type Rental } from './autoscale.js';
+import { AIM_MARGIN, Capacity, cheapest, type PriceInput, planRentals, type Rental } from './autoscale.js';
 import type { ImageFacts } from './images.js';
 import {
   type Entry,
@@ -254,7 +254,7 @@
   /** Its slack less its run, with room for estimates that are too low, and the fetch of its image. */
   private patience(w: Want): number | null {
     if (w.slackS === null || w.service || w.whole) return null;
-    return Math.max(0, w.slackS - 1.75 * w.estimateS - this.fetchS(w));
+    return Math.max(0, w.slackS - (w.aimS ?? 0) * AIM_MARGIN - 1.75 * w.estimateS - this.fetchS(w));
   }
 
   private fetchS(w: { imageGb: number }): number {
@@ -1377,7 +1377,9 @@
         // A place that comes free before a machine rented now would be up is as good as that machine.
         const at = cheapest(this.prices(now), want, open);
         const boot = at ? at.type.bootS + want.imageGb / Math.max(0.01, at.type.fetchGbPerS) : 0;
-        const patience = Math.max(this.policyNow.patience_s, want.patienceS ?? 0, boot);
+        // An ordinary machine costs several times a cheap one: not before the aim itself is in danger.
+        const last = at && !at.spot && want.slackS !== null ? want.slackS - 1.2 * want.estimateS - boot : 0;
+        const patience = Math.max(this.policyNow.patience_s, want.patienceS ?? 0, boot, last);
         const until = Math.min(MOST_PATIENCE_S, patience);
         for (let k = 0; k <= until && open > 0; k++) {
           const n = Math.min(open, Math.floor(freed[k]! / want.cpus + 1e-9));
@@ -1714,6 +1716,7 @@
       avoid: [],
       near: '',
       patienceS: null,
+      aimS: null,
       slackS: null,
       seen: 0,
     };
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -827,13 +827,13 @@
     return s.shape !== 'service' && wall - s.at > MOST_KEPT_MS && j.count.n + j.placed.size < s.tasks;
   }
 
-  /** What is left until its aim or deadline, less a margin. */
-  private slack(j: Job): number | null {
+  /** Its aim or deadline, and what is left until then. */
+  private slack(j: Job): { aimS: number | null; slackS: number | null } {
     const s = j.spec;
     const aim = s.deadlineS ?? (s.shape === 'service' ? undefined : this.finish.get(s.cls)?.[0]);
-    if (aim === undefined) return null;
-    const left = aim * 0.8 - (this.o.clock.wall() - s.at) / 1000;
-    return left > 0 ? left : null;
+    if (aim === undefined) return { aimS: null, slackS: null };
+    const left = aim - (this.o.clock.wall() - s.at) / 1000;
+    return left > 0 ? { aimS: aim, slackS: left } : { aimS: null, slackS: null };
   }
 
   private queuePlace(j: Job): number {
@@ -887,7 +887,7 @@
       avoid,
       near: j.near,
       patienceS: null,
-      slackS: this.slack(j),
+      ...this.slack(j),
       seen: this.lastGrant,
     };
   }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -124,7 +124,8 @@
   near: string;
   /** So long it may still wait for places without putting its aim at risk: the keeper's reckoning; null: it has none. */
   patienceS: number | null;
-  /** So long from now its tasks may take to be done in time with some margin; null: no aim, or past it. */
+  /** Its aim on being done, and what is left until then; null: none, or past it. */
+  aimS: number | null;
   slackS: number | null;
   /** The newest grant that its owner had taken in: what it granted is no longer wanted. */
   seen: number;
--- a/test/standin/keeper.ts
+++ b/test/standin/keeper.ts
@@ -163,6 +163,7 @@
   avoid: [],
   near: '',
   patienceS: null,
+  aimS: null,
   slackS: null,
   seen: 0,
   ...over,
