--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -20,6 +20,8 @@
 }
 
 const EPS = 1e-9;
+/** Machines that the replicas of one job are spread over where there is a choice. */
+const SPREAD = 4;
 
 export function fits(r: Room, w: { cpus: number; gpus: number; mem: number }): boolean {
   return r.cpus + EPS >= w.cpus && r.gpus + EPS >= w.gpus && r.mem + EPS >= w.mem;
@@ -65,7 +67,12 @@
   return v;
 }
 
-export function best(rooms: Iterable<Room>, w: Want, scarceZone: string | null): Room | null {
+export function best(
+  rooms: Iterable<Room>,
+  w: Want,
+  scarceZone: string | null,
+  full?: (r: Room) => boolean,
+): Room | null {
   let found: Room | null = null;
   let rank = Number.POSITIVE_INFINITY;
   for (const r of rooms) {
@@ -75,7 +82,7 @@
     if (scarceZone === r.zone && !r.spot && w.service && !w.zoneRoom && w.zone === null) continue;
     // Work that has time and may use cheap machines lets it run empty, to be returned.
     if (r.surplus && w.spot && !w.service && (w.patienceS ?? 0) > 0) continue;
-    if (!fits(r, w) || !allowed(r, w) || w.avoid.includes(r.name)) continue;
+    if (!fits(r, w) || !allowed(r, w) || w.avoid.includes(r.name) || full?.(r)) continue;
     const v = rankRoom(r, w, scarceZone);
     if (v < rank) {
       rank = v;
@@ -97,8 +104,16 @@
   const zoneRoom = w.zoneRoom ? { ...w.zoneRoom } : null;
   const v: Want = { ...w, zoneRoom };
   let left = count;
+  // Replicas of a job go to several machines: less is lost with one, and its image is in more places for the next.
+  const per = w.service && w.job !== '' ? Math.max(1, Math.ceil(count / SPREAD)) : count;
+  const here = new Map<Room, number>();
+  let apart = per < count;
   while (left > 0) {
-    const r = best(rooms, v, scarceZone);
+    const r = best(rooms, v, scarceZone, apart ? (x) => (here.get(x) ?? 0) >= per : undefined);
+    if (!r && apart) {
+      apart = false;
+      continue;
+    }
     if (!r) break;
     if (v.together && v.zone === null) v.zone = r.zone;
     // The fuller a machine the better it ranks: the best one stays the best while it has room.
@@ -107,7 +122,8 @@
       if (zoneRoom) zoneRoom[r.zone] = (zoneRoom[r.zone] ?? w.zoneCap) - 1;
       each(r);
       left--;
-    } while (left > 0 && fits(r, w) && allowed(r, v));
+      here.set(r, (here.get(r) ?? 0) + 1);
+    } while (left > 0 && fits(r, w) && allowed(r, v) && !(apart && (here.get(r) ?? 0) >= per));
   }
   return left;
 }
