--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -1355,10 +1355,11 @@
    * taken by the first want that can wait for it, and comes free again when that one's task has run.
    */
   private afterWaiting(left: { want: Want; count: number }[], now: number): { want: Want; count: number }[] {
-    const freed = new Float64Array(MOST_PATIENCE_S + 1);
-    const put = (inS: number, cpus: number) => {
+    // By rank: what higher work frees will be taken by its own next.
+    const freed = [0, 1, 2, 3].map(() => new Float64Array(MOST_PATIENCE_S + 1));
+    const put = (rank: number, inS: number, cpus: number) => {
       const k = Math.max(0, Math.ceil(inS));
-      if (k <= MOST_PATIENCE_S) freed[k]! += cpus;
+      if (k <= MOST_PATIENCE_S) freed[rank]![k]! += cpus;
     };
     for (const m of this.machines.values()) {
       if (m.sum.batchTasks === 0 || m.removing || m.leaveAt !== null) continue;
@@ -1367,7 +1368,7 @@
         const running = e.listed?.phase === 'running';
         const left = running ? e.estimateS - (now - e.since) / 1000 : e.estimateS + this.fetchS(e) / 2;
         // One that has outrun its estimate is likely to go on for a part of it.
-        put(Math.max(left, e.estimateS * 0.3), e.cpus);
+        put(e.rank, Math.max(left, e.estimateS * 0.3), e.cpus);
       }
     }
     const out: { want: Want; count: number }[] = [];
@@ -1381,13 +1382,15 @@
         const last = at && !at.spot && want.slackS !== null ? want.slackS - 1.2 * want.estimateS - boot : 0;
         const patience = Math.max(this.policyNow.patience_s, want.patienceS ?? 0, boot, last);
         const until = Math.min(MOST_PATIENCE_S, patience);
-        for (let k = 0; k <= until && open > 0; k++) {
-          const n = Math.min(open, Math.floor(freed[k]! / want.cpus + 1e-9));
-          if (n <= 0) continue;
-          open -= n;
-          freed[k]! -= n * want.cpus;
-          put(k + Math.max(1, want.estimateS), n * want.cpus);
-        }
+        for (let k = 0; k <= until && open > 0; k++)
+          for (let rank = 3; rank >= want.rank && open > 0; rank--) {
+            const f = freed[rank]!;
+            const n = Math.min(open, Math.floor(f[k]! / want.cpus + 1e-9));
+            if (n <= 0) continue;
+            open -= n;
+            f[k]! -= n * want.cpus;
+            put(want.rank, k + Math.max(1, want.estimateS), n * want.cpus);
+          }
       }
       if (open > 0) out.push({ want, count: open });
     }
