--- /dev/null
+++ b/src/core/placing.ts
@@ -0,0 +1,355 @@
+import { AIM_MARGIN } from './autoscale.js';
+import type { KeeperOptions, Ledger, WantRef } from './ledger.js';
+import { type Entry, type Machine, newEntry, takesRoom } from './machine.js';
+import { allowed, emptyRoom, fill, fits, type Room, take } from './room.js';
+import type { Grant, Want } from './types.js';
+
+/** Part of an aim on waiting after which lower work is stopped for it. */
+const STOP_AFTER = 0.25;
+
+/** Gives room to what owners want, by rank, guarantee and order, and has lower work stopped for it. */
+export class Placing {
+  readonly declined = new Map<string, number>();
+  /** Classes with an aim on waiting, and the mean size of their jobs. */
+  private readonly waits = new Map<string, number>();
+  private guaranteeS = Number.POSITIVE_INFINITY;
+  /** Since when a job's work has found no room. */
+  private readonly unmet = new Map<string, number>();
+  private readonly batchShapes = new Map<string, { want: Want; mean: number }>();
+  private grants = 0;
+
+  constructor(
+    private readonly o: KeeperOptions,
+    private readonly l: Ledger,
+  ) {
+    for (const a of o.objectives) {
+      if (a.kind === 'wait') this.waits.set(a.cls, Math.min(a.withinS, this.waits.get(a.cls) ?? a.withinS));
+      if (a.kind === 'guarantee') this.guaranteeS = Math.min(this.guaranteeS, a.withinS);
+    }
+  }
+
+  /** Its slack less its run, with room for estimates that are too low, and the fetch of its image. */
+  private patience(w: Want): number | null {
+    if (w.slackS === null || w.service || w.whole) return null;
+    return Math.max(0, w.slackS - (w.aimS ?? 0) * AIM_MARGIN - 1.75 * w.estimateS - this.l.fetchS(w));
+  }
+
+  setWants(inst: string, wants: Want[]): void {
+    const old = new Set(this.l.wants.get(inst)?.map((w) => w.job));
+    for (const w of wants) w.patienceS = this.patience(w);
+    for (const w of wants)
+      if (!w.service && !w.whole && !old.has(w.job) && this.waits.has(w.cls)) {
+        const b = this.batchShapes.get(w.cls);
+        this.batchShapes.set(w.cls, { want: w, mean: b ? b.mean * 0.9 + w.count * 0.1 : w.count });
+      }
+    this.l.wants.set(inst, wants);
+    for (const w of wants) if (w.service) this.l.learnShape(w);
+  }
+
+  private addUse(usage: Map<string, { cpus: number; gpus: number }>, w: Want): void {
+    const u = usage.get(w.team);
+    if (!u) return;
+    u.cpus += w.cpus;
+    u.gpus += w.gpus;
+  }
+
+  /** The zone with the fewest types, then the least ordinary room, while jobs must be spread over zones. */
+  private findScarceZone(): string | null {
+    let spread = false;
+    for (const s of this.l.serviceShapes.values()) if (s.want.zoneRoom) spread = true;
+    if (!spread) return null;
+    const room = new Map<string, { types: number; cpus: number }>();
+    for (const t of this.l.types.values())
+      for (const z of t.zones) {
+        const r = room.get(z) ?? { types: 0, cpus: 0 };
+        r.types++;
+        room.set(z, r);
+      }
+    if (room.size < 2) return null;
+    for (const m of this.l.machines.values()) {
+      const r = room.get(m.zone);
+      if (r && !m.spot) r.cpus += this.l.types.get(m.type)?.cpus ?? 0;
+    }
+    const sorted = [...room].sort((a, b) => a[1].types - b[1].types || a[1].cpus - b[1].cpus);
+    return sorted[0]?.[0] ?? null;
+  }
+
+  pass(now: number): { want: Want; count: number }[] {
+    this.l.refresh();
+    if (now - this.l.scarceAt > 1000) {
+      this.l.scarceAt = now;
+      this.l.scarce = this.findScarceZone();
+    }
+    const left: { want: Want; count: number }[] = [];
+    const refs: (WantRef & { inside: boolean })[] = [];
+    const usage = this.l.usage();
+    for (const [inst, wants] of this.l.wants)
+      for (const want of wants)
+        if (this.l.heeds(inst, want.team)) {
+          const inside = this.l.within(usage.get(want.team), want.team, want);
+          // A guarantee is to be had at once, whatever the aim allows.
+          refs.push({ want: inside && want.patienceS ? { ...want, patienceS: 0 } : want, inst, inside });
+        }
+    refs.sort(
+      (a, b) =>
+        a.want.rank - b.want.rank ||
+        Number(b.inside) - Number(a.inside) ||
+        a.want.stage - b.want.stage ||
+        a.want.order - b.want.order,
+    );
+    const list = this.l.rooms(now);
+    const scarce = this.l.scarce;
+    const grants = new Map<string, Grant[]>();
+    const wanted = new Set<string>();
+    const promised = this.freeing(now);
+    const ready = this.o.entitled();
+    const kept = [...this.batchShapes.values()].sort((a, b) => a.want.rank - b.want.rank);
+    const place = ({ want, inst }: WantRef, count: number, rooms: Room[]): number => {
+      if (!ready || count <= 0) return count;
+      return fill(rooms, want, count, scarce, (r) => {
+        const m = this.l.machines.get(r.name) as Machine;
+        this.addUse(usage, want);
+        const g = this.grant(m, want, now);
+        const l = grants.get(inst);
+        if (l) l.push(g);
+        else grants.set(inst, [g]);
+      });
+    };
+    const finish = (ref: WantRef & { inside: boolean }, count: number): void => {
+      const { want } = ref;
+      let open = count;
+      if (want.service) {
+        // A replica that has to fetch its image is late by far more than one that waits for a task to stop.
+        const warm = (r: Room) => r.images?.has(want.image) === true;
+        open = place(ref, open, list.filter(warm));
+        if (open > 0) open = fill(promised.filter(warm), want, open, scarce, () => this.addUse(usage, want));
+        if (open > 0 && ready) open -= this.preempt(want, open, usage, now, true);
+      }
+      open = place(ref, open, list);
+      if (open <= 0) return void this.unmet.delete(want.job);
+      // Room that stops already under way will free is waited for before more is stopped; what comes into it
+      // counts as used, or one task's guarantee would be claimed for all.
+      let waiting = fill(promised, want, open, scarce, () => this.addUse(usage, want));
+      if (waiting <= 0) return;
+      // Places come free all the time: a moment's wait often saves the work that a stop would lose.
+      const since = this.unmet.get(want.job) ?? now;
+      this.unmet.set(want.job, since);
+      if (ready && now - since >= this.stopAfterMs(want, ref.inside))
+        waiting -= this.preempt(want, waiting, usage, now);
+      // What room is being freed for needs no machine.
+      if (waiting > 0) left.push({ want, count: waiting });
+    };
+    // Work that can wait goes first where its image is, as long as nothing that can't wait is before it: a fetch keeps
+    // a place about as long as a task does. What finds none takes its turn after the others like it.
+    let cold: { ref: WantRef & { inside: boolean }; count: number }[] = [];
+    let group = '';
+    for (const ref of refs) {
+      const { want } = ref;
+      const next = `${want.rank}${ref.inside}`;
+      if (next !== group) {
+        for (const c of cold) finish(c.ref, c.count);
+        cold = [];
+        group = next;
+      }
+      // Lower work leaves the room that the next job of a class with an aim on waiting will need.
+      while (kept.length > 0 && kept[0]!.want.rank < want.rank) {
+        const k = kept.shift()!;
+        const free: Want = { ...k.want, avoid: [], near: '', zoneRoom: null };
+        fill(list, free, Math.round(k.mean * this.l.policyNow.reserve_batch), scarce, () => {});
+      }
+      // What its owner has taken in of the grants is no longer wanted by it.
+      let count = want.count;
+      for (const id of this.l.holds.get(want.job) ?? []) if (id > want.seen) count--;
+      wanted.add(want.job);
+      const pause = this.declined.get(want.job);
+      if (pause !== undefined) {
+        if (pause > now) continue;
+        this.declined.delete(want.job);
+      }
+      if (count <= 0 || (want.whole && count < want.count)) continue;
+      if (want.service || want.whole || (want.patienceS ?? 0) <= 0) finish(ref, count);
+      else {
+        const warm = list.filter((r) => r.images?.has(want.image));
+        cold.push({ ref, count: place(ref, count, warm) });
+      }
+    }
+    for (const c of cold) finish(c.ref, c.count);
+    for (const [inst, g] of grants) this.o.send(inst, { k: 'grants', token: this.l.token, grants: g });
+    for (const job of this.unmet.keys()) if (!wanted.has(job)) this.unmet.delete(job);
+    for (const m of this.l.reserved)
+      if (!m.reserved || !wanted.has(m.reserved.job)) {
+        m.reserved = null;
+        this.l.reserved.delete(m);
+      }
+    return left;
+  }
+
+  private grant(m: Machine, w: Want, now: number): Grant {
+    const id = ++this.grants;
+    const e = newEntry(
+      {
+        job: w.job,
+        idx: -1,
+        attempt: 0,
+        machine: m.name,
+        season: m.season,
+        want: 'run',
+        graceS: 0,
+        team: w.team,
+        rank: w.rank,
+        gang: w.whole,
+        service: w.service,
+        cpus: w.cpus,
+        gpus: w.gpus,
+        mem: w.mem,
+        image: w.image,
+        imageGb: w.imageGb,
+        estimateS: w.estimateS,
+        types: w.types,
+        spread: w.zoneRoom !== null,
+        grant: id,
+      },
+      now,
+    );
+    e.key = `grant#${id}`;
+    e.want = 'hold';
+    m.entries.set(e.key, e);
+    this.l.touch(m);
+    this.l.grantAt.set(id, m);
+    const ids = this.l.holds.get(w.job);
+    if (ids) ids.add(id);
+    else this.l.holds.set(w.job, new Set([id]));
+    return { id, job: w.job, team: w.team, machine: m.name, zone: m.zone, season: m.season };
+  }
+
+  /** Room that will be free once the tasks being stopped are gone. */
+  private freeing(now: number): Room[] {
+    const out: Room[] = [];
+    for (const m of this.l.withStops) {
+      if (m.removing || m.retired || m.leaveAt !== null || now - m.heardAt >= 10000) continue;
+      const r = this.l.roomOf(m, now);
+      if (!r) continue;
+      const s = m.sum.stopping;
+      r.cpus += s.cpus;
+      r.gpus += s.gpus;
+      r.mem += s.mem;
+      r.penalty = 0;
+      r.reserved = null;
+      out.push(r);
+    }
+    return out;
+  }
+
+  /** How long work waits for places to come free by themselves before others are stopped for it. */
+  private stopAfterMs(w: Want, inside: boolean): number {
+    if (w.service) return 0;
+    const aims = [this.waits.get(w.cls) ?? Number.POSITIVE_INFINITY];
+    if (inside) aims.push(this.guaranteeS);
+    const aim = Math.min(...aims);
+    if (Number.isFinite(aim)) return aim * 1000 * STOP_AFTER;
+    return Math.min(5, w.patienceS ?? 0) * 1000;
+  }
+
+  /** `less`: CPUs of the team's tasks that are chosen already. */
+  private mayStop(w: Want, e: Entry, usage: Map<string, { cpus: number; gpus: number }>, less = 0): boolean {
+    if (e.want !== 'run' || e.evicting || e.settled) return false;
+    // Services give way to nothing below them, whatever team they belong to.
+    if (e.rank === 0) return false;
+    if (e.team === w.team || w.rank === 0) return e.rank > w.rank;
+    const t = this.o.teams.get(e.team);
+    const u = usage.get(e.team);
+    const beyond = !!t && !!u && u.cpus - less > t.cpus + 1e-9;
+    const within = this.l.within(usage.get(w.team), w.team, w);
+    // A guarantee goes before rank: were it otherwise, each of two teams could stop the other for ever.
+    if (e.rank > w.rank) return beyond || within;
+    return beyond && within;
+  }
+
+  /** What would have to be stopped on a machine for one task of a want, and what is lost by it. */
+  private offer(
+    m: Machine,
+    w: Want,
+    usage: Map<string, { cpus: number; gpus: number }>,
+    now: number,
+  ): { m: Machine; victims: Entry[]; cost: number } | null {
+    const t = this.l.types.get(m.type);
+    if (!t) return null;
+    const r = emptyRoom(t, m.zone, m.spot, m.name);
+    if (!allowed(r, w) || w.avoid.includes(m.name)) return null;
+    const may: Entry[] = [];
+    for (const e of m.entries.values()) {
+      // Room that is being freed was promised before.
+      if (!takesRoom(e)) continue;
+      take(r, e);
+      if (!e.evicting && e.want !== 'stop' && this.mayStop(w, e, usage)) may.push(e);
+    }
+    may.sort((a, b) => b.rank - a.rank || b.since - a.since);
+    const victims: Entry[] = [];
+    const less = new Map<string, number>();
+    for (const e of may) {
+      if (fits(r, w)) break;
+      // A team a little beyond its guarantee must not lose more than that: it would claim it back, and so for ever.
+      const gone = less.get(e.team) ?? 0;
+      if (!this.mayStop(w, e, usage, gone)) continue;
+      less.set(e.team, gone + e.cpus);
+      victims.push(e);
+      r.cpus += e.cpus;
+      r.gpus += e.gpus;
+      r.mem += e.mem;
+    }
+    if (!fits(r, w) || victims.length === 0) return null;
+    let cost = m.images.has(w.image) ? 0 : w.imageGb * 20;
+    for (const e of victims) cost += (e.cpus * (now - e.since)) / 1000 + (3 - e.rank) * 30;
+    return { m, victims, cost };
+  }
+
+  /** Stops lower work so that `count` tasks of a want find room; least lost work first. */
+  private preempt(
+    w: Want,
+    count: number,
+    usage: Map<string, { cpus: number; gpus: number }>,
+    now: number,
+    warmOnly = false,
+  ): number {
+    if (w.whole) return 0;
+    const inside = this.l.within(usage.get(w.team), w.team, w);
+    let lower = false;
+    for (let k = w.rank + 1; k < 4; k++) if (this.l.total.ranks[k]! > 0) lower = true;
+    if (!lower && !inside) return 0;
+    const stops = new Map<string, { job: string; idx: number; attempt: number }[]>();
+    type Pick = { m: Machine; victims: Entry[]; cost: number };
+    const offers: Pick[] = [];
+    for (const m of this.l.machines.values()) {
+      if (m.sum.batch.cpus <= 0 || (warmOnly && !m.images.has(w.image)) || !this.l.usable(m, now)) continue;
+      const o = this.offer(m, w, usage, now);
+      if (o) offers.push(o);
+    }
+    let picked = 0;
+    for (; picked < count; picked++) {
+      let pick: Pick | null = null;
+      for (const o of offers) if (!pick || o.cost < pick.cost) pick = o;
+      if (!pick) break;
+      this.addUse(usage, w);
+      // What is freed is for this want; lower work would only have to be stopped again.
+      pick.m.reserved = { job: w.job, rank: w.rank, until: now + 5000 };
+      this.l.reserved.add(pick.m);
+      this.l.touch(pick.m);
+      for (const e of pick.victims) {
+        e.evicting = now;
+        const u = usage.get(e.team);
+        if (u) u.cpus -= e.cpus;
+        const inst = this.l.owners.get(e.team)?.inst;
+        if (!inst) continue;
+        const l = stops.get(inst) ?? [];
+        l.push({ job: e.job, idx: e.idx, attempt: e.attempt });
+        stops.set(inst, l);
+      }
+      const again = this.offer(pick.m, w, usage, now);
+      if (again) Object.assign(pick, again);
+      else offers.splice(offers.indexOf(pick), 1);
+    }
+    for (const [inst, tasks] of stops)
+      this.o.send(inst, { k: 'evict', token: this.l.token, tasks, why: `room for ${w.job}` });
+    return picked;
+  }
+}
