--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -9,6 +9,8 @@
 const MOST_MOVES = 8;
 /** Machines looked at for emptying at a time. */
 const MOST_TRIES = 60;
+/** Multiple of its type's boot time after which a machine is no longer counted on. */
+const LATE_BOOT = 1.6;
 /** How far ahead places that come free are counted on. */
 const MOST_PATIENCE_S = 120;
 
@@ -132,6 +134,8 @@
     for (const m of this.l.machines.values()) {
       const t = byName.get(m.type);
       if (m.up || m.removing || !t) continue;
+      // Overdue, and perhaps never to come: work does not wait for it.
+      if (now - m.rentedAt > t.bootS * LATE_BOOT * 1000) continue;
       coming.push(emptyRoom(t, m.zone, m.spot, m.name));
     }
     for (const r of this.rentalsOut.values()) {
--- a/test/grown.test.ts
+++ b/test/grown.test.ts
@@ -200,3 +200,19 @@
     .cb({ ok: false, kind: 'refused' });
   expect(answers.at(-1)).toBe('d false 1');
 });
+
+test('work does not wait for machines that are overdue', () => {
+  const t = keeper(5);
+  t.rents.served = true;
+  t.wants([makeWant('wk-1', { service: true, rank: 0, spot: false, cpus: 4, count: 1 })]);
+  const run = (seconds: number) => {
+    for (let i = 0; i < seconds; i++) {
+      t.later(1000);
+      t.k.flush();
+    }
+  };
+  run(7);
+  expect(t.rents.n).toBe(1);
+  run(13);
+  expect(t.rents.n).toBeGreaterThan(1);
+});
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -37,10 +37,13 @@
   put(gone);
   w.jobs.get(gone.id)!.cancelledAt = -100000;
   run(b, gone.id, 0);
+  w.quietFrom = 0;
   w.sim.run(w.sim.now + 4000);
+  expect(w.broken.some((t) => t.includes('forgotten'))).toBe(false);
+  w.sim.run(w.sim.now + 76000);
   const kinds = new Set(w.broken.map((t) => t.split(' ')[1]));
   b.size.cpus = 16;
-  expect([...kinds].sort()).toEqual(['quota:', 'ran_cancelled:', 'ran_twice:', 'wrong_place:']);
+  expect([...kinds].sort()).toEqual(['forgotten:', 'quota:', 'ran_cancelled:', 'ran_twice:', 'wrong_place:']);
 });
 
 test('a start sent directly without an answer is neither settled by absence nor reaped; a higher token is asked for', () => {
--- a/test/standin/keeper.ts
+++ b/test/standin/keeper.ts
@@ -19,6 +19,8 @@
   const calls: { cmds: WorkerCommand[]; cb: (r: Result<WorkerReport>) => void }[] = [];
   const raised: string[] = [];
   const removed: string[] = [];
+  /** Machines rented: none are to be had unless a test says so; none of them comes up by itself. */
+  const rents = { served: false, n: 0 };
   const list: ListedMachine[] = [];
   const k = new Keeper({
     inst: 'a',
@@ -34,7 +36,11 @@
     log: { debug: () => {}, info: () => {}, error: () => {} },
     cloud: {
       types: () => {},
-      rent: () => {},
+      rent: (claim, _type, _zone, _spot, n, cb) => {
+        if (!rents.served) return;
+        rents.n += n;
+        cb({ ok: true, value: Array.from({ length: n }, (_, i) => `${claim}-${i}`) });
+      },
       remove: (names) => removed.push(...names),
       list: (_s, cb) => cb({ ok: true, value: { machines: list, more: false } }),
     },
@@ -127,7 +133,23 @@
     k.flush();
     return said.flatMap((m) => (m.k === 'grants' ? m.grants.map((g) => g.job) : []));
   };
-  return { k, said, calls, report, held, hold, tell, wants, settled, later, raised, removed, list, grants };
+  return {
+    k,
+    said,
+    calls,
+    report,
+    held,
+    hold,
+    tell,
+    wants,
+    settled,
+    later,
+    raised,
+    rents,
+    removed,
+    list,
+    grants,
+  };
 }
 export const listed = (phase: 'running' | 'exited'): TaskReport => ({
   job: 'wk-1',
