--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -9,6 +9,8 @@
 const MOST_MOVES = 8;
 /** Machines looked at for emptying at a time. */
 const MOST_TRIES = 60;
+/** Others come for places that come free: part of a boot time within which one is counted on. */
+const SURE = 0.7;
 /** Multiple of its type's boot time after which a machine is no longer counted on. */
 const LATE_BOOT = 1.6;
 /** How far ahead places that come free are counted on. */
@@ -213,8 +215,13 @@
         const at = cheapest(this.prices(now), want, open);
         const boot = at ? at.type.bootS + want.imageGb / Math.max(0.01, at.type.fetchGbPerS) : 0;
         // An ordinary machine costs several times a cheap one: not before the aim itself is in danger.
-        const last = at && !at.spot && want.slackS !== null ? want.slackS - 1.2 * want.estimateS - boot : 0;
-        const patience = Math.max(this.l.policyNow.patience_s, want.patienceS ?? 0, boot, last);
+        // Either way there must be time left to rent when waiting fails.
+        const margin = (want.aimS ?? 0) * AIM_MARGIN;
+        const last =
+          at && !at.spot && want.slackS !== null
+            ? want.slackS - margin / 2 - 1.2 * want.estimateS - 1.5 * boot
+            : (want.patienceS ?? 0) - boot;
+        const patience = Math.max(this.l.policyNow.patience_s, boot * SURE, last);
         const until = Math.min(MOST_PATIENCE_S, patience);
         for (let k = 0; k <= until && open > 0; k++)
           for (let rank = 3; rank >= want.rank && open > 0; rank--) {
