--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,4 +1,4 @@
-import { Capacity, cheapest, type PriceInput, planRentals, type Rental } from './autoscale.js';
+import { AIM_MARGIN, Capacity, cheapest, type PriceInput, planRentals, type Rental } from './autoscale.js';
 import type { KeeperOptions, Ledger } from './ledger.js';
 import { type Entry, type Machine, takesRoom } from './machine.js';
 import { allowed, emptyRoom, fill, fits, type Room, slots } from './room.js';
