--- a/src/core/images.ts
+++ b/src/core/images.ts
@@ -40,8 +40,9 @@
   }
 
   take(add: ImageFact[], gone: string[]): void {
-    for (const m of gone) this.machines.delete(m);
     for (const [machine, image, gb] of add) this.set(machine, image, gb);
+    // A machine's name is never used again: one that is gone stays gone, whatever was learnt of it just before.
+    for (const m of gone) this.machines.delete(m);
   }
 
   private set(machine: string, image: string, gb: number): void {
--- a/test/grown.test.ts
+++ b/test/grown.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest';
 import { Capacity, planRentals } from '../src/core/autoscale.js';
+import { ImageFacts } from '../src/core/images.js';
 import { Mirror } from '../src/core/mirror.js';
 import type { Clock, StateEvent, StatePort, Then } from '../src/core/types.js';
 import { job } from './standin/day.js';
@@ -216,3 +217,16 @@
   run(13);
   expect(t.rents.n).toBeGreaterThan(1);
 });
+
+test('what one keeper learnt of images the next one knows', () => {
+  const a = new ImageFacts();
+  a.learn('m', 'i', 1);
+  a.learn('m', 'i', 1);
+  a.learn('n', 'k', 2);
+  a.forget('n');
+  const n = a.news();
+  const b = new ImageFacts();
+  b.take([['n', 'old', 1]], []);
+  b.take(n.add, n.gone);
+  expect([b.all(), a.all(), a.news()]).toEqual([[['m', 'i', 1]], [['m', 'i', 1]], { add: [], gone: [] }]);
+});
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -19,7 +19,12 @@
   method: string,
   path: string,
   body?: unknown,
-): Promise<{ status: number; json: Record<string, unknown>; retry: string | null }> {
+): Promise<{
+  status: number;
+  json: Record<string, unknown>;
+  retry: string | null;
+  connection: string | null;
+}> {
   const text = typeof body === 'string' || body === undefined ? body : JSON.stringify(body);
   let done: Response | undefined;
   void Promise.resolve(app.request(path, { method, ...(text === undefined ? {} : { body: text }) })).then(
@@ -36,6 +41,7 @@
     status: done.status,
     json: (await done.json()) as Record<string, unknown>,
     retry: done.headers.get('retry-after'),
+    connection: done.headers.get('connection'),
   };
 }
 
@@ -117,3 +123,21 @@
   // A token higher than any known here: whoever led before must not answer as the leader.
   expect((await ask('POST', '/hello', report)).status).toBe(421);
 });
+
+test('a controller that alone is refused by the state service is not ready and lets its users go; in an outage for all it is', async () => {
+  w.sim.run(w.sim.now + 10000);
+  expect((await ask('GET', '/ready')).status).toBe(200);
+  w.state.refused.add('c0');
+  w.sim.run(w.sim.now + 4000);
+  expect((await ask('GET', '/ready')).status).toBe(503);
+  const r = await ask('GET', '/v2/runs/wk-000412');
+  expect([r.status, r.retry, r.connection]).toEqual([503, '1', 'close']);
+  w.state.allow('c0');
+  w.sim.run(w.sim.now + 5000);
+  expect((await ask('GET', '/ready')).status).toBe(200);
+  w.state.setDown(true);
+  w.sim.run(w.sim.now + 8000);
+  expect((await ask('GET', '/ready')).status).toBe(200);
+  expect((await ask('GET', '/v2/runs/wk-000412')).connection).toBe(null);
+  w.state.setDown(false);
+});
