--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -9,6 +9,8 @@
 const MOST_MOVES = 8;
 /** Machines looked at for emptying at a time. */
 const MOST_TRIES = 60;
+/** So long after work was last short of places ordinary machines are still left to it. */
+const SHORT_MS = 10000;
 /** Others come for places that come free: part of a boot time within which one is counted on. */
 const SURE = 0.7;
 /** Multiple of its type's boot time after which a machine is no longer counted on. */
@@ -160,7 +162,10 @@
       if (!this.l.machines.has(name) || now - this.l.machines.get(name)!.heardAt < 3000)
         this.rescue.delete(name);
     const rescued = [...this.rescue.values()].flat().map((want) => ({ want, count: 1 }));
-    const need = [...this.afterWaiting(open, now), ...rescued, ...phantom, ...this.cheaper(now)];
+    const short = this.afterWaiting(open, now);
+    // As long as work is short of places, ordinary machines that are there are used, and not left to run empty.
+    if (short.some((x) => !x.want.service && x.want.spot)) this.l.shortUntil = now + SHORT_MS;
+    const need = [...short, ...rescued, ...phantom, ...this.cheaper(now)];
     // A new keeper lets the list, the reports and the owners speak first.
     const settled = this.o.first || (this.l.listed && now - this.l.startedAt > this.o.listLagS * 1000);
     if (need.length > 0 && settled && this.l.allSynced()) {
@@ -290,7 +295,7 @@
         continue;
       }
       const idleFor = idleMs.get(m.type) ?? 60000;
-      const surplus = !m.spot && !this.l.spare.has(m.name);
+      const surplus = !m.spot && !this.l.spare.has(m.name) && now > this.l.shortUntil;
       if (now - m.idleSince >= (surplus ? idleFor / 2 : idleFor)) idle.set(m.name, m);
     }
     if (idle.size === 0) return;
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -82,6 +82,8 @@
   scarceAt = Number.NEGATIVE_INFINITY;
   /** Ordinary machines without replicas that the reserve lies on. */
   spare = new Set<string>();
+  /** Until then work is short of places. */
+  shortUntil = 0;
   readonly reserved = new Set<Machine>();
   readonly startedAt: number;
   readonly serviceShapes = new Map<string, { want: Want; at: number }>();
@@ -222,7 +224,7 @@
     r.images = m.images;
     if (m.reserved && m.reserved.until > now) r.reserved = m.reserved;
     r.penalty = (now - m.heardAt > this.quietMs() ? 10 : 0) + (m.errors.size > 0 ? 20 : 0);
-    r.surplus = !m.spot && m.sum.services === 0 && !this.spare.has(m.name);
+    r.surplus = !m.spot && m.sum.services === 0 && !this.spare.has(m.name) && now > this.shortUntil;
     r.cpus = m.sum.free.cpus;
     r.gpus = m.sum.free.gpus;
     r.mem = m.sum.free.mem;
