--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -111,6 +111,8 @@
   private ledAt = 0;
   private readonly superseded = new Set<string>();
   private raiseAt = 0;
+  private giveUpAt = 0;
+  private givingUp = false;
   private stateOkAt: number;
   private leader: LeaderRecord = { inst: '', host: '', token: 0 };
   private heard = new Map<string, { inst: string; at: number; seq: number; okAt: number }>();
@@ -252,6 +254,7 @@
     const now = this.o.clock.now();
     this.keepLease(now);
     this.elect(now);
+    this.giveUp(now);
     this.part(now);
     this.learnTypes(now);
     this.keeper?.tick();
@@ -452,6 +455,26 @@
     );
   }
 
+  /**
+   * A leader record that still names this instance after it has resigned: its deletion was lost. As long as it stands
+   * nobody can be elected, and the lease it hangs on is kept (seen in a seeded day: no leader to the end).
+   */
+  private giveUp(now: number): void {
+    const it = this.sys.items.get('sys/leader');
+    if (!it || this.keeper || this.electing || this.givingUp || now < this.giveUpAt) return;
+    const rec = it.value as LeaderRecord;
+    if (rec.inst !== this.o.inst || rec.token > this.ledToken) return;
+    this.giveUpAt = now + 1000;
+    this.givingUp = true;
+    this.state.txn(
+      { when: [{ key: 'sys/leader', version: it.version }], then: [{ del: 'sys/leader' }] },
+      0,
+      () => {
+        this.givingUp = false;
+      },
+    );
+  }
+
   private raise(token: number, why: string): void {
     const now = this.o.clock.now();
     if (this.keeper?.token !== token || this.electing || now < this.raiseAt) return;
--- a/test/grown.test.ts
+++ b/test/grown.test.ts
@@ -230,3 +230,21 @@
   b.take(n.add, n.gone);
   expect([b.all(), a.all(), a.news()]).toEqual([[['m', 'i', 1]], [['m', 'i', 1]], { add: [], gone: [] }]);
 });
+
+test('a leader whose resignation was lost does not keep others from being elected', () => {
+  const w = new World(5);
+  w.sim.run(5000);
+  const leads = (h: string) => w.procs.get(h)!.ctl.status().keeper !== null;
+  const host = w.hosts.find(leads)!;
+  const ctl = w.procs.get(host)!.ctl as unknown as {
+    ledToken: number;
+    resign(token: number, why: string): void;
+  };
+  w.state.refused.add(host);
+  ctl.resign(ctl.ledToken, 'a test');
+  w.sim.run(w.sim.now + 300);
+  w.state.allow(host);
+  expect(w.hosts.some(leads)).toBe(false);
+  w.sim.run(w.sim.now + 10000);
+  expect(w.hosts.filter(leads).length).toBe(1);
+});
--- a/test/standin/state.ts
+++ b/test/standin/state.ts
@@ -167,6 +167,12 @@
   private wakeWatches(): void {
     for (const w of [...this.waiting]) {
       if (this.closed(w.host)) continue;
+      // A response holds every change: a watch held back while its history was lost can't be answered.
+      if (w.since < this.historyFrom) {
+        this.waiting.splice(this.waiting.indexOf(w), 1);
+        w.reply({ status: 410 });
+        continue;
+      }
       const events = this.log.filter((e) => e.version > w.since && e.key.startsWith(w.prefix));
       if (events.length === 0) continue;
       this.waiting.splice(this.waiting.indexOf(w), 1);
