--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -17,6 +17,7 @@
       cancelledAt: null,
       told: null,
       answeredAt: 0,
+      finalAt: 0,
     });
   const a = w.machine('small', 'a', true);
   const b = w.machine('big', 'a', false);
