--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -309,7 +309,6 @@
     for (const r of rooms) if (idle.has(r.name)) r.penalty += 1000;
     const keep = (r: Room) => void idle.delete(r.name);
     const plain = rooms.map((r) => ({ ...r }));
-    for (const x of this.reserve()) fill(rooms, x.want, x.count, this.l.scarce, keep);
     for (const { want, n } of this.warmWanted(now)) {
       const warm = plain.filter((r) => !r.spot && r.images?.has(want.image) && fits(r, want));
       let have = 0;
@@ -321,6 +320,9 @@
         keep(r);
       }
     }
+    // What is kept for its image serves the reserve as well.
+    for (const r of rooms) if (r.penalty >= 1000 && !idle.has(r.name)) r.penalty -= 1000;
+    for (const x of this.reserve()) fill(rooms, x.want, x.count, this.l.scarce, keep);
     for (const m of idle.values()) this.remove(m, 'idle');
   }
 
