--- a/test/grown.test.ts
+++ b/test/grown.test.ts
@@ -248,3 +248,22 @@
   w.sim.run(w.sim.now + 10000);
   expect(w.hosts.filter(leads).length).toBe(1);
 });
+
+test('a machine kept for the image of a service is the reserve as well', () => {
+  const t = keeper(5, { reserve_replicas: 1, idle_s: 10 });
+  const n = { machine: 'n', addr: 'n' };
+  const replica = { ...t.held('run'), rank: 0 as const, service: true, machine: 'n' };
+  t.report([], 5, n);
+  t.hold(replica);
+  t.report([listed('running')], 5, n);
+  t.report([{ ...listed('exited'), why: 'stopped' }], 5, n);
+  t.hold({ ...replica, want: 'reap' });
+  for (let i = 0; i < 30; i++) {
+    t.report([], 5, n);
+    t.report([]);
+    t.later(1000);
+    t.k.flush();
+    for (const c of t.calls.splice(0)) c.cb({ ok: false, kind: 'refused' });
+  }
+  expect(t.removed).toEqual(['m']);
+});
--- a/test/standin/keeper.ts
+++ b/test/standin/keeper.ts
@@ -1,5 +1,6 @@
 import { ImageFacts } from '../../src/core/images.js';
 import { Keeper } from '../../src/core/keeper.js';
+import type { Policy } from '../../src/core/policy.js';
 import type {
   Held,
   KeeperMsg,
@@ -13,7 +14,7 @@
 import { TEAMS, TYPES } from './world.js';
 
 /** A keeper alone, with hand-made reports and a worker whose answers the test decides on. */
-export function keeper(token: number) {
+export function keeper(token: number, policy: Partial<Policy> = {}) {
   let now = 0;
   const said: KeeperMsg[] = [];
   const calls: { cmds: WorkerCommand[]; cb: (r: Result<WorkerReport>) => void }[] = [];
@@ -58,6 +59,7 @@
       batch_tasks: 10,
       parting_s: 30,
       patience_s: 10,
+      ...policy,
     }),
     entitled: () => true,
     send: (_i, m) => said.push(m),
