Sockets: a budget from fd_limit; direct commands over a bounded set of connections

Seen by reading, to be measured: a connection per worker for direct commands and one for its reports pass 2,521 sockets at 1,858 machines. Connections to workers are bounded and the longest unused closed; near the limit of inbound ones, whoever is over their part is let go after an answer. Tests over loopback, in small numbers.

--- a/src/io/http.ts
+++ b/src/io/http.ts
@@ -8,6 +8,7 @@
 import { isJobId, readJob, writeState } from '../wire/jobs.js';
 import { isObj, parse, str } from '../wire/json.js';
 import { readReport, writeAnswer } from '../wire/worker.js';
+import type { Sockets } from './sockets.js';
 
 const MOST_BODY = 64 * 1024;
 
@@ -38,8 +39,13 @@
   return text.length > MOST_BODY || Buffer.byteLength(text) > MOST_BODY ? null : text;
 }
 
-export function makeApp(ctl: Controller, clock: Clock, log: Logger): Hono {
+export function makeApp(ctl: Controller, clock: Clock, log: Logger, sockets?: Sockets): Hono {
   const app = new Hono();
+  if (sockets)
+    app.use(async (c, next) => {
+      await next();
+      if (sockets.crowded(c.req.path)) c.header('Connection', 'close');
+    });
   // Users alone: reports and health checks are never held up by them.
   const limit = new ProgressLimit(64, 8, 400, 400);
 
@@ -106,7 +112,7 @@
   return app;
 }
 
-export function listen(app: Hono, bind: string, fdLimit: number, log: Logger): void {
+export function listen(app: Hono, bind: string, sockets: Sockets, log: Logger): void {
   const cut = bind.lastIndexOf(':');
   const server = serve({
     fetch: app.fetch,
@@ -117,7 +123,7 @@
   server.keepAliveTimeout = 120000;
   server.headersTimeout = 20000;
   server.requestTimeout = 20000;
-  server.maxConnections = Math.max(50, fdLimit - 150);
+  sockets.attach(server);
   server.on('error', (e) => {
     log.error({ err: String(e) }, 'cannot listen');
     process.exit(1);
--- a/src/main.ts
+++ b/src/main.ts
@@ -8,6 +8,7 @@
 import { CloudClient } from './io/cloud.js';
 import { listen, makeApp } from './io/http.js';
 import { Mesh } from './io/mesh.js';
+import { Sockets, socketBudget } from './io/sockets.js';
 import { StateClient } from './io/state.js';
 import { WorkerClients } from './io/workers.js';
 import { loadPolicy } from './settings/policy.js';
@@ -47,6 +48,7 @@
 function run(s: Settings, policy: ReturnType<typeof loadPolicy>, log: Logger): void {
   const p = s.params;
   let ctl: Controller | null = null;
+  const budget = socketBudget(p.limits.fd_limit, s.siblings.length);
   const mesh = new Mesh(
     s.mesh_addr,
     s.siblings.map((x) => ({ host: x.host_name, addr: x.peer_addr })),
@@ -80,11 +82,12 @@
       nodes: p.size,
     }),
     cloud: new CloudClient(s.services.cloud, p.cloud.rps),
-    worker: new WorkerClients(),
+    worker: new WorkerClients(budget.workers),
     mesh,
   });
   ctl.start();
-  listen(makeApp(ctl, realClock, log), s.bind, p.limits.fd_limit, log);
+  const sockets = new Sockets(budget.inbound, realClock.now);
+  listen(makeApp(ctl, realClock, log, sockets), s.bind, sockets, log);
   log.info({ bind: s.bind, mesh: s.mesh_addr }, 'started');
 }
 
--- /dev/null
+++ b/test/sockets.test.ts
@@ -0,0 +1,124 @@
+import http from 'node:http';
+import net, { type AddressInfo } from 'node:net';
+import { afterEach, expect, test } from 'vitest';
+import { Sockets, socketBudget } from '../src/io/sockets.js';
+import { WorkerClients } from '../src/io/workers.js';
+
+const open: { close: () => void }[] = [];
+afterEach(() => {
+  for (const o of open.splice(0)) o.close();
+});
+
+const report = (name: string) =>
+  JSON.stringify({
+    trunk: name,
+    address: name,
+    bark: 'small',
+    slope: 'a',
+    windfall: false,
+    season: 1,
+    tally: 1,
+    crook: 1,
+    felling_s: null,
+    saplings: [],
+  });
+
+async function listen(server: http.Server): Promise<string> {
+  open.push({
+    close: () => {
+      server.closeAllConnections();
+      server.close();
+    },
+  });
+  await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+test('direct commands reach more workers than there are connections for, those with commands first', async () => {
+  const order: string[] = [];
+  let now = 0;
+  let most = 0;
+  const workers: string[] = [];
+  for (let i = 0; i < 12; i++) {
+    const server = http.createServer((req, res) => {
+      let body = '';
+      req.on('data', (b) => {
+        body += String(b);
+      });
+      req.on('end', () => {
+        order.push(`${JSON.parse(body).calls.length > 0 ? 'command' : 'question'} ${i}`);
+        setTimeout(() => res.end(report(`vm-${i}`)), 15);
+      });
+    });
+    server.on('connection', (s) => {
+      most = Math.max(most, ++now);
+      s.on('close', () => now--);
+    });
+    workers.push(await listen(server));
+  }
+  const clients = new WorkerClients(3);
+  let done = 0;
+  await new Promise<void>((all) => {
+    const cb = (r: { ok: boolean }) => {
+      expect(r.ok).toBe(true);
+      if (++done === 12) all();
+    };
+    workers.forEach((addr, i) => {
+      clients.commands(addr, 1, 1, i < 8 ? [] : [{ op: 'start', job: 'wk-1', idx: i, attempt: 1 }], cb);
+    });
+  });
+  // A closed connection may be counted a moment after the next one was opened.
+  expect([most <= 7, clients.connections]).toEqual([true, 3]);
+  expect(order.slice(3, 7).every((x) => x.startsWith('command'))).toBe(true);
+});
+
+test('a call that found no connection in time was surely not sent', async () => {
+  const addr = await listen(http.createServer(() => {}));
+  const other = await listen(http.createServer((_q, res) => void res.end(report('vm-2'))));
+  const clients = new WorkerClients(1);
+  const kinds = await Promise.all(
+    [addr, other].map(
+      (a) => new Promise((done) => clients.commands(a, 1, 1, [], (r) => done(r.ok ? 'ok' : r.kind))),
+    ),
+  );
+  expect(kinds).toEqual(['unknown', 'refused']);
+}, 10000);
+
+test('users that hold all connections lock out neither workers nor health checks', async () => {
+  const sockets = new Sockets(40, () => performance.now());
+  const server = http.createServer((req, res) => {
+    if (sockets.crowded(req.url ?? '')) res.setHeader('Connection', 'close');
+    res.end('{}');
+  });
+  sockets.attach(server);
+  const addr = await listen(server);
+  const [host, port] = addr.split(':');
+  const ask = (path: string) =>
+    new Promise<boolean>((done) => {
+      const s = net.connect(Number(port), host);
+      open.push({ close: () => s.destroy() });
+      s.on('connect', () => s.write(`GET ${path} HTTP/1.1\r\nHost: x\r\n\r\n`));
+      s.once('data', () => done(true));
+      s.once('error', () => done(false));
+      s.once('close', () => done(false));
+    });
+  for (let i = 0; i < 38; i++) await ask('/v2/runs/wk-1');
+  await new Promise((r) => setTimeout(r, 1100));
+  const answered: boolean[] = [];
+  for (let i = 0; i < 25; i++) answered.push(await ask('/hello'));
+  answered.push(await ask('/ready'));
+  expect(answered.every((x) => x)).toBe(true);
+  expect(sockets.total).toBeLessThanOrEqual(40);
+});
+
+test('the budget leaves workers their connections at every size', () => {
+  for (const [fd, machines, siblings] of [
+    [2521, 1858, 4],
+    [2021, 893, 2],
+    [800, 72, 2],
+  ] as const) {
+    const b = socketBudget(fd, siblings);
+    expect(b.inbound + b.workers).toBeLessThan(fd);
+    expect(b.inbound * 0.96).toBeGreaterThan(machines);
+  }
+});
