--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -22,7 +22,7 @@
 
 /** What controllers say to one another. */
 export type MeshBody =
-  | { k: 'ping'; leader: string; token: number; okAgeMs: number }
+  | { k: 'ping'; leader: string; token: number; okAgeMs: number; strays: string[] }
   | { k: 'images'; add: ImageFact[]; gone: string[] }
   | { k: 'owner'; to: string; m: OwnerMsg }
   | { k: 'keeper'; to: string; m: KeeperMsg };
@@ -78,6 +78,11 @@
 
 /** Most facts about images in one message. */
 const IMAGES_PART = 2000;
+/** So long nobody in touch is heard before a controller takes itself for alone; so long a leader must have led before. */
+const ALONE_MS = 2500;
+const LED_MS = 15000;
+/** Most machines named in one message as having asked here and not the leader. */
+const MOST_STRAYS = 1000;
 /** Part of a lease by which a sibling's last answer from the state service must be later than this one's own. */
 const ALONE = 0.6;
 
@@ -261,12 +266,15 @@
     const news = this.images.news();
     if (this.keeper && news.add.length + news.gone.length > 0)
       for (const p of this.o.peers) this.meshSend(p, { k: 'images', ...news });
+    const strays = [...this.strays].slice(0, MOST_STRAYS);
+    this.strays.clear();
     for (const p of this.o.peers)
       this.meshSend(p, {
         k: 'ping',
         leader: this.leader.host,
         token: this.leader.token,
         okAgeMs: Math.max(0, now - this.stateOkAt),
+        strays: p === this.leader.host ? strays : [],
       });
   }
 
@@ -425,6 +433,7 @@
       deposed: (token) => {
         if (this.keeper?.token === rec.token) this.stepDown(`token ${token} seen`);
       },
+      siblings: () => [...this.heard.values()].filter((h) => this.o.clock.now() - h.at < 3000).length,
       resign: (reason) => this.resign(rec.token, reason),
       raise: (reason) => this.raise(rec.token, reason),
     });
@@ -484,6 +493,7 @@
 
   private setLeader(rec: LeaderRecord): void {
     if (rec.token < this.leader.token) return;
+    if (rec.token > this.leader.token) this.leaderAt = this.o.clock.now();
     this.leader = rec;
     this.owner.setKeeper(rec.token);
   }
@@ -628,6 +638,7 @@
           m.body.token > this.keeper.token
         )
           this.stepDown('a sibling knows a later leader');
+        this.keeper?.strayed(m.body.strays);
         if (m.body.token > this.hint.token) this.hint = { host: m.body.leader, token: m.body.token };
         return;
       case 'images':
@@ -645,6 +656,9 @@
   /** The keeper's knowledge of images, for whoever leads next. */
   private readonly images = new ImageFacts();
   private hint = { host: '', token: 0 };
+  /** Machines that asked here, and not the leader, since it was last told. */
+  private readonly strays = new Set<string>();
+  private leaderAt = 0;
 
   /** Our own connection to a sibling was made anew: what was under way may be lost. */
   private link(host: string, up: boolean): void {
@@ -663,18 +677,41 @@
     const now = this.o.clock.now();
     const k = this.keeper;
     if (!k) {
+      if (this.standsIn(r, now)) return { s: 'ok', token: this.leader.token, cmds: [] };
+      this.strays.add(r.machine);
       const known = this.hint.token > this.leader.token ? this.hint.host : this.leader.host;
       return { s: 'other', keeper: known !== '' && known !== this.o.host ? known : null };
     }
-    // In an outage reports are answered for a bounded time, so that what is cancelled meanwhile by others
-    // has lost its worker's lease within `cancel_s`.
-    const bound = (this.o.workers.cancelS - this.o.workers.leaseS) * 1000 * 0.75;
-    if (now - this.stateOkAt > bound) return { s: 'later' };
+    if (now - this.stateOkAt > this.answerMs) return { s: 'later' };
     const cmds = k.report(r);
     if (cmds === null) return this.report(r);
     return { s: 'ok', token: k.token, cmds };
   }
 
+  /**
+   * In an outage reports are answered for a bounded time, so that what is cancelled meanwhile by others has lost its
+   * worker's lease within `cancel_s`.
+   */
+  private get answerMs(): number {
+    return (this.o.workers.cancelS - this.o.workers.leaseS) * 1000 * 0.75;
+  }
+
+  /**
+   * Alone with its workers, without the state service and the leader: their leases are kept for the last leader known,
+   * with its token and without commands, for the same bounded time, or a zone that is cut off would lose all it runs.
+   * The time counts from when that leader was last heard, and only if it had led for a while: what was cancelled
+   * before has been stopped by it.
+   */
+  private standsIn(r: WorkerReport, now: number): boolean {
+    const h = this.heard.get(this.leader.host);
+    if (!h || h.inst !== this.leader.inst || r.token > this.leader.token) return false;
+    if (this.hint.token > this.leader.token || now - this.stateOkAt < ALONE_MS || now - h.at < ALONE_MS)
+      return false;
+    for (const x of this.heard.values()) if (now - x.at < ALONE_MS && now - x.okAt < ALONE_MS) return false;
+    const since = Math.min(this.stateOkAt, h.at);
+    return since - this.leaderAt > LED_MS && now - since <= this.answerMs;
+  }
+
   /** For logs and tests. */
   status(): Record<string, unknown> {
     return {
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -181,8 +181,11 @@
   }
 
   private prices(now: number): PriceInput {
+    const cut = this.l.cutZones;
+    const types = this.o.types();
     return {
-      types: this.o.types(),
+      // What is rented in a zone that is cut off can't be reached.
+      types: cut.size === 0 ? types : types.map((t) => ({ ...t, zones: t.zones.filter((z) => !cut.has(z)) })),
       capacity: this.capacity,
       now,
       amortizeS: this.l.policyNow.amortize_s,
@@ -406,6 +409,10 @@
    */
   waitFor(m: Machine, rooms: Room[], now: number): boolean {
     this.rescue.delete(m.name);
+    // In a zone that is cut off replicas may be kept alive from inside, and could go nowhere else: until they are dead
+    // in any case, deleting their machine only ends them (seen on rekrut-szkoly-fleet, zone).
+    if (!m.spot && m.sum.services > 0 && this.l.cutZones.has(m.zone))
+      return now - Math.max(m.heardAt, this.l.startedAt) <= this.o.workers.cancelS * 1000;
     if (m.spot || now - Math.max(m.heardAt, this.l.startedAt) > this.o.workers.leaseS * 1000) return false;
     const wants = [...m.entries.values()]
       .filter((e) => e.service && takesRoom(e))
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -7,6 +7,8 @@
 import { taskKey } from './types.js';
 
 const COMMANDS_AT_ONCE = 200;
+/** Part of a zone's machines that are silent when the zone is taken for cut off. */
+const CUT_SHARE = 0.6;
 
 /** The elected leader's part: machines, reports, room. It stores nothing; owners and workers tell it all. */
 export class Keeper {
@@ -327,6 +329,7 @@
       this.trimImages(m);
       if (t.phase === 'running') e.since = now;
     }
+    if (t.phase === 'fetching' || t.phase === 'waiting') e.timed = true;
     if (t.phase !== 'exited') return;
     if (t.why === 'error') {
       m.errors.set(e.job, now);
@@ -339,7 +342,9 @@
       }
     } else if (t.why === 'done') {
       m.errors.delete(e.job);
-      if (e.estimateS > 0) this.speed(m, (now - e.since) / 1000 / e.estimateS);
+      // What ran before this keeper led looks much too fast: whoever was measured in full looked slow beside it, and
+      // a new keeper retired half its fleet (seen on rekrut-szkoly-fleet, apart).
+      if (e.estimateS > 0 && e.timed) this.speed(m, (now - e.since) / 1000 / e.estimateS);
     }
   }
 
@@ -407,6 +412,7 @@
           if (e.sentWith >= 0) continue;
           e.direct = true;
         } else e.sentWith = tally;
+        e.timed = true;
         out.push({ op: 'start', ...id });
       } else if (e.want === 'stop') {
         if (!t || t.phase === 'exited' || (t.phase === 'saving' && e.graceS > 0)) continue;
@@ -611,17 +617,35 @@
     }
   }
 
-  /** Silent machines: asked directly, then deleted, unless so many are silent that the fault may be here. */
+  /** Machines that asked siblings, as those tell: alive, whatever this controller hears of them. */
+  strayed(names: string[]): void {
+    const now = this.o.clock.now();
+    for (const name of names) {
+      const m = this.l.machines.get(name);
+      if (m) m.strayAt = now;
+    }
+  }
+
+  /** Silent machines: asked directly, then deleted, unless the fault may be here or a whole zone is cut off. */
   private watchSilence(now: number): void {
     const report = this.o.workers.reportS * 1000;
+    const lease = this.o.workers.leaseS * 1000;
     const probeAfter = report * 1.25 + 1000;
     const silentMs = this.l.policyNow.silent_s * 1000;
     const silent: Machine[] = [];
+    const zones = new Map<string, { quiet: number; all: number }>();
     let heard = 0;
     let counted = 0;
+    let strays = 0;
     for (const m of this.l.machines.values()) {
       if (m.removing || (!m.up && m.entries.size === 0)) continue;
       counted++;
+      let zone = zones.get(m.zone);
+      if (!zone) {
+        zone = { quiet: 0, all: 0 };
+        zones.set(m.zone, zone);
+      }
+      zone.all++;
       // Workers need some time to find a new keeper.
       // One that is heard but does not hear counts as silent from when that began.
       const alive = m.deaf >= 2 ? Math.min(m.heardAt, m.deafSince) : m.heardAt;
@@ -631,15 +655,28 @@
         heard++;
         continue;
       }
+      zone.quiet++;
       if (m.addr !== '' && now - m.probeAt > 2000 && !m.directBusy) this.direct(m, true);
+      if (m.strayAt > m.heardAt + 2000 && now - m.strayAt < 2 * probeAfter) {
+        strays++;
+        if (quiet < lease) continue;
+      }
       if (quiet > silentMs && (m.probeFails > 0 || m.addr === '')) silent.push(m);
     }
+    this.judgeZones(zones);
+    // They reach siblings and not this controller: it was cut off from its workers, and waiting for them to fall
+    // silent one after the other cost two thirds of the fleet (seen on rekrut-szkoly-fleet, apart).
+    if (strays > Math.max(2, heard) && now - this.l.startedAt > probeAfter + 6000)
+      return this.o.resign('workers reach siblings only');
     if (silent.length === 0) {
       this.suspectSince = 0;
       return;
     }
-    const many = silent.length > Math.max(2, counted * this.l.policyNow.silent_share);
-    if (!many || heard >= silent.length) {
+    const quiet = counted - heard;
+    const many = quiet > Math.max(2, counted * this.l.policyNow.silent_share) && heard < quiet;
+    // Siblings in reach to whom none of them has turned bear out that it is the machines.
+    const borneOut = heard > 0 && this.o.siblings() > 0 && strays < quiet * 0.1;
+    if (!many || borneOut) {
       const rooms = this.l.reserveRooms(now);
       for (const m of silent) if (!this.fleet.waitFor(m, rooms, now)) this.remove(m, 'silent');
       return;
@@ -647,7 +684,7 @@
     if (this.suspectSince === 0) {
       this.suspectSince = now;
       this.o.log.info(
-        { silent: silent.length, heard },
+        { silent: silent.length, heard, strays },
         'many machines silent at once: suspecting this controller',
       );
     }
@@ -658,8 +695,16 @@
     }
     // Past their lease their tasks are dead in any case.
     for (const m of silent)
-      if (now - Math.max(m.heardAt, this.l.startedAt) > this.o.workers.leaseS * 1000 + 5000)
-        this.remove(m, 'silent past its lease');
+      if (now - Math.max(m.heardAt, this.l.startedAt) > lease + 5000) this.remove(m, 'silent past its lease');
+  }
+
+  /** A zone that falls silent as a whole while others are heard is cut off, and may well go on working inside. */
+  private judgeZones(zones: Map<string, { quiet: number; all: number }>): void {
+    const cut = [...zones].filter(([, z]) => z.all >= 3 && z.quiet > z.all * CUT_SHARE).map(([name]) => name);
+    const now = cut.length < zones.size ? cut : [];
+    for (const z of now)
+      if (!this.l.cutZones.has(z)) this.o.log.info({ zone: z }, 'zone seems to be cut off');
+    this.l.cutZones = new Set(now);
   }
 
   private watchDoubt(now: number): void {
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -39,6 +39,8 @@
   wake(): void;
   /** A higher token was seen: another keeper acts. */
   deposed(token: number): void;
+  /** Siblings heard from a moment ago. */
+  siblings(): number;
   /** Nothing but this controller's own network explains what is seen. */
   resign(why: string): void;
   /** Held-back commands stand in the way of a stop: a higher token would end them. */
@@ -80,6 +82,8 @@
   types = new Map<string, MachineType>();
   scarce: string | null = null;
   scarceAt = Number.NEGATIVE_INFINITY;
+  /** Zones most of whose machines are silent while others are heard: cut off rather than dead. */
+  cutZones = new Set<string>();
   /** Ordinary machines without replicas that the reserve lies on. */
   spare = new Set<string>();
   /** Until then work is short of places. */
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -14,6 +14,8 @@
   settled: boolean;
   told: string;
   since: number;
+  /** Since when it runs is known: this keeper saw it before it ran, or sent its start. */
+  timed: boolean;
   /** When a stop was asked of its owner; 0: not. */
   evicting: number;
 }
@@ -32,6 +34,8 @@
   /** Any sign of life, and reports alone. */
   heardAt: number;
   reportAt: number;
+  /** Last asked a sibling, which sent it here. */
+  strayAt: number;
   up: boolean;
   /** Has shown this keeper's token: what it was heard to say is no late copy from before. */
   confirmed: boolean;
@@ -149,6 +153,7 @@
     token: 0,
     heardAt: now,
     reportAt: 0,
+    strayAt: Number.NEGATIVE_INFINITY,
     up: false,
     confirmed: false,
     deaf: 0,
@@ -187,6 +192,7 @@
     settled: false,
     told: '',
     since: now,
+    timed: false,
     evicting: 0,
   };
 }
--- a/src/io/mesh.ts
+++ b/src/io/mesh.ts
@@ -24,6 +24,10 @@
   return Array.isArray(v) && v.every(fact);
 }
 
+function isNames(v: unknown): v is string[] {
+  return Array.isArray(v) && v.every((x) => typeof x === 'string');
+}
+
 /** A message of the shape that controllers send; anything else is dropped. */
 export function isMeshMsg(v: unknown): v is MeshMsg {
   if (typeof v !== 'object' || v === null) return false;
@@ -37,15 +41,20 @@
         token?: unknown;
         leader?: unknown;
         okAgeMs?: unknown;
+        strays?: unknown;
         add?: unknown;
         gone?: unknown;
       }
     | undefined;
   if (typeof b !== 'object' || b === null) return false;
   if (b.k === 'ping')
-    return typeof b.token === 'number' && typeof b.leader === 'string' && typeof b.okAgeMs === 'number';
-  if (b.k === 'images')
-    return isFacts(b.add) && Array.isArray(b.gone) && b.gone.every((x) => typeof x === 'string');
+    return (
+      typeof b.token === 'number' &&
+      typeof b.leader === 'string' &&
+      typeof b.okAgeMs === 'number' &&
+      isNames(b.strays)
+    );
+  if (b.k === 'images') return isFacts(b.add) && isNames(b.gone);
   return (
     (b.k === 'owner' || b.k === 'keeper') &&
     typeof b.to === 'string' &&
--- a/test/standin/keeper.ts
+++ b/test/standin/keeper.ts
@@ -65,6 +65,7 @@
     send: (_i, m) => said.push(m),
     wake: () => {},
     deposed: () => {},
+    siblings: () => 0,
     resign: () => {},
     raise: (why) => raised.push(why),
   });
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -216,6 +216,11 @@
     return {
       commands: (addr, token, season, cmds, cb) => {
         const copy = JSON.parse(JSON.stringify(cmds));
+        // What was executed may be executed once more, long after.
+        if (this.copies && this.sim.chance(0.3))
+          this.sim.after(this.sim.between(500, LEASE_S * 2500), () =>
+            this.workers.get(addr)?.direct(token, season, copy, noop),
+          );
         this.net.call<{ ok: boolean; report: WorkerReport }>(
           host,
           addr,
