--- /dev/null
+++ b/test/fleet.test.ts
@@ -0,0 +1,102 @@
+import { expect, test } from 'vitest';
+import { keeper, listed } from './standin/keeper.js';
+import { World } from './standin/world.js';
+
+type Keeper = ReturnType<typeof keeper>;
+
+/** Every machine of `names` reports, one second passes, and what was asked directly is not answered. */
+function second(t: Keeper, names: string[], over: (name: string) => object = () => ({})): void {
+  for (const machine of names) t.report([], 5, { machine, addr: machine, ...over(machine) });
+  t.later(1000);
+  t.k.flush();
+  for (const c of t.calls.splice(0)) c.cb({ ok: false, kind: 'refused' });
+}
+const names = (n: number, from = 0) => Array.from({ length: n }, (_, i) => `vm-${from + i}`);
+
+test('a new keeper takes no machine for slow because it saw others half way through their tasks', () => {
+  const t = keeper(5);
+  const all = names(30);
+  const done = (id: string) => [{ ...listed('exited'), job: id }];
+  // Each runs a task that began before this keeper led: first seen running, ended a moment later.
+  for (let round = 0; round < 5; round++) {
+    for (const m of all) t.hold({ ...t.held('run'), job: `wk-${m}-${round}`, machine: m });
+    for (const m of all)
+      t.report([{ ...listed('running'), job: `wk-${m}-${round}` }], 5, { machine: m, addr: m });
+    t.later(100);
+    for (const m of all.slice(0, 20)) t.report(done(`wk-${m}-${round}`), 5, { machine: m, addr: m });
+    t.later(3000);
+    for (const m of all.slice(20)) t.report(done(`wk-${m}-${round}`), 5, { machine: m, addr: m });
+  }
+  for (let i = 0; i < 5; i++) second(t, all);
+  const retired = [
+    ...(t.k as unknown as { l: { machines: Map<string, { retired: boolean }> } }).l.machines.values(),
+  ];
+  expect(retired.filter((m) => m.retired)).toEqual([]);
+});
+
+test('a keeper whose workers reach its siblings only resigns and deletes nothing', () => {
+  const t = keeper(5, { silent_s: 6, silent_share: 0.4, idle_s: 1e6 });
+  t.siblings.n = 2;
+  const all = names(20);
+  for (let i = 0; i < 30; i++) second(t, all);
+  for (let i = 0; i < 20 && t.resigned.length === 0; i++) {
+    second(t, []);
+    // What siblings tell of them, some seconds after the first report went unanswered.
+    if (i >= 4) t.k.strayed(all.slice(0, 4 * (i - 3)));
+  }
+  expect(t.resigned).toEqual(['workers reach siblings only']);
+  expect(t.removed).toEqual([]);
+});
+
+test('half the fleet silent: deleted when siblings bear it out, held back when nobody does', () => {
+  for (const siblings of [2, 0]) {
+    const t = keeper(5, { silent_s: 6, silent_share: 0.4, idle_s: 1e6 });
+    t.siblings.n = siblings;
+    t.rents.served = true;
+    for (let i = 0; i < 30; i++) second(t, names(20));
+    // Fall silent one after the other, as their reports are due.
+    for (let i = 0; i < 14; i++) second(t, names(6).concat(names(Math.max(0, 14 - 4 * i), 6)));
+    expect(t.removed.length).toBe(siblings > 0 ? 14 : 0);
+    expect(t.resigned).toEqual([]);
+  }
+});
+
+test('a zone that is cut off is waited for while its replicas may live, and nothing is rented there', () => {
+  const t = keeper(5, { silent_s: 6, idle_s: 1e6 });
+  t.siblings.n = 1;
+  t.rents.served = true;
+  const near = names(8);
+  const far = names(4, 8);
+  const at = (m: string) => ({ zone: far.includes(m) ? 'b' : 'a' });
+  for (let i = 0; i < 30; i++) second(t, [...near, ...far], at);
+  for (const m of far.slice(1))
+    t.hold({ ...t.held('run'), rank: 0, service: true, job: `wk-${m}`, machine: m });
+  for (const m of far.slice(1))
+    t.report([{ ...listed('running'), job: `wk-${m}` }], 5, { machine: m, addr: m, zone: 'b' });
+  for (let i = 0; i < 35; i++) second(t, near, at);
+  // Only the one without replicas; the others until `cancel_s` (40 s here) has passed.
+  expect(t.removed).toEqual([far[0]]);
+  for (let i = 0; i < 10; i++) second(t, near, at);
+  expect(t.removed.sort()).toEqual([...far].sort());
+});
+
+test('a controller cut off with its zone keeps leases for the last leader, for a bounded time', () => {
+  const w = new World(21);
+  w.sim.run(25000);
+  const leads = (h: string) => w.procs.get(h)!.ctl.status().keeper !== null;
+  const host = w.hosts.find((h) => !leads(h))!;
+  const m = w.machine('small', 'a', false);
+  w.cloudDown = true;
+  w.sim.run(w.sim.now + 8000);
+  expect(m.token).toBeGreaterThan(0);
+  for (const inside of [host, m.name])
+    for (const outside of [...w.hosts.filter((h) => h !== host), 'state', 'cloud', 'users'])
+      w.net.cut(inside, outside, 'hold');
+  const cut = w.sim.now;
+  w.sim.run(cut + 28000);
+  // Its lease (20 s) is over by now but for the controller inside.
+  expect([m.alive, m.season]).toEqual([true, 1]);
+  // `cancel_s` (40 s) after the cut nothing may run any more that was cancelled outside meanwhile.
+  w.sim.run(cut + 39900);
+  expect(m.season).toBeGreaterThan(1);
+});
--- a/test/standin/keeper.ts
+++ b/test/standin/keeper.ts
@@ -20,7 +20,9 @@
   const calls: { cmds: WorkerCommand[]; cb: (r: Result<WorkerReport>) => void }[] = [];
   const raised: string[] = [];
   const removed: string[] = [];
-  /** Machines rented: none are to be had unless a test says so; none of them comes up by itself. */
+  const resigned: string[] = [];
+  const siblings = { n: 0 };
+  /** Machines rented and deleted: the cloud answers only if a test says so; none rented comes up by itself. */
   const rents = { served: false, n: 0 };
   const list: ListedMachine[] = [];
   const k = new Keeper({
@@ -42,7 +44,10 @@
         rents.n += n;
         cb({ ok: true, value: Array.from({ length: n }, (_, i) => `${claim}-${i}`) });
       },
-      remove: (names) => removed.push(...names),
+      remove: (names, cb) => {
+        removed.push(...names);
+        if (rents.served) cb({ ok: true, value: null });
+      },
       list: (_s, cb) => cb({ ok: true, value: { machines: list, more: false } }),
     },
     worker: { commands: (_a, _t, _s, cmds, cb) => calls.push({ cmds, cb }) },
@@ -65,8 +70,8 @@
     send: (_i, m) => said.push(m),
     wake: () => {},
     deposed: () => {},
-    siblings: () => 0,
-    resign: () => {},
+    siblings: () => siblings.n,
+    resign: (why) => resigned.push(why),
     raise: (why) => raised.push(why),
   });
   k.setOwners(new Map(TEAMS.map((t) => [t.name, { inst: 'o', gen: 1 }])));
@@ -148,6 +153,8 @@
     settled,
     later,
     raised,
+    resigned,
+    siblings,
     rents,
     removed,
     list,
