--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -754,7 +754,8 @@
     this.fleet.logFleet(now);
     this.l.refresh();
     this.l.policyNow = this.o.policy(this.l.policyInput());
-    for (const m of this.l.machines.values()) if (m.entries.size > 0) this.toDirect.add(m);
+    for (const m of this.l.machines.values())
+      if (m.sum.todo || (m.strangers.size > 0 && m.up)) this.toDirect.add(m);
     this.pollList(now);
     this.watchSilence(now);
     this.watchDoubt(now);
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -88,6 +88,8 @@
   services: number;
   serviceCpus: number;
   batchTasks: number;
+  /** Something may have to be sent: a start, a stop or a reap. */
+  todo: boolean;
   /** Running entries by rank. */
   ranks: [number, number, number, number];
 }
@@ -103,6 +105,7 @@
     services: 0,
     serviceCpus: 0,
     batchTasks: 0,
+    todo: false,
     ranks: [0, 0, 0, 0],
   };
 }
@@ -120,6 +123,7 @@
     s.free = { cpus: t.cpus, gpus: t.gpus, mem: t.mem };
   }
   for (const e of m.entries.values()) {
+    if (e.want === 'stop' || e.want === 'reap' || (e.want === 'run' && !e.listed)) s.todo = true;
     if (!takesRoom(e)) continue;
     add(s.free, e, -1);
     if (e.want === 'stop' || e.evicting) add(s.stopping, e);
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -1,7 +1,7 @@
 import { AIM_MARGIN } from './autoscale.js';
 import type { KeeperOptions, Ledger, WantRef } from './ledger.js';
 import { type Entry, type Machine, newEntry, takesRoom } from './machine.js';
-import { allowed, emptyRoom, fill, fits, type Room, take } from './room.js';
+import { allowed, emptyRoom, fill, fits, type Room, shapeKey, take } from './room.js';
 import type { Grant, Want } from './types.js';
 
 /** Part of an aim on waiting after which lower work is stopped for it. */
@@ -17,6 +17,10 @@
   private readonly unmet = new Map<string, number>();
   private readonly batchShapes = new Map<string, { want: Want; mean: number }>();
   private grants = 0;
+  /** In this pass: kinds of wants that nothing can be stopped for, and kinds that find no room. */
+  private readonly hopeless = new Set<string>();
+  private readonly full = new Set<string>();
+  private readonly stops = new Map<string | null, Machine[]>();
 
   constructor(
     private readonly o: KeeperOptions,
@@ -76,6 +80,9 @@
 
   pass(now: number): { want: Want; count: number }[] {
     this.l.refresh();
+    this.hopeless.clear();
+    this.full.clear();
+    this.stops.clear();
     if (now - this.l.scarceAt > 1000) {
       this.l.scarceAt = now;
       this.l.scarce = this.findScarceZone();
@@ -99,6 +106,17 @@
     );
     const list = this.l.rooms(now);
     const scarce = this.l.scarce;
+    const byImage = new Map<string, Room[]>();
+    const warmRooms = (image: string): Room[] => {
+      let l = byImage.get(image);
+      if (!l) {
+        l = list.filter((r) => r.images?.has(image));
+        byImage.set(image, l);
+      }
+      return l;
+    };
+    const held = new Set<string>();
+    for (const m of this.l.reserved) if (m.reserved) held.add(m.reserved.job);
     const grants = new Map<string, Grant[]>();
     const wanted = new Set<string>();
     const promised = this.freeing(now);
@@ -106,7 +124,10 @@
     const kept = [...this.batchShapes.values()].sort((a, b) => a.want.rank - b.want.rank);
     const place = ({ want, inst }: WantRef, count: number, rooms: Room[]): number => {
       if (!ready || count <= 0) return count;
-      return fill(rooms, want, count, scarce, (r) => {
+      const key =
+        want.whole || held.has(want.job) ? null : `${shapeKey(want)}|${rooms === list ? '' : want.image}`;
+      if (key !== null && this.full.has(key)) return count;
+      const left = fill(rooms, want, count, scarce, (r) => {
         const m = this.l.machines.get(r.name) as Machine;
         this.addUse(usage, want);
         const g = this.grant(m, want, now);
@@ -114,6 +135,10 @@
         if (l) l.push(g);
         else grants.set(inst, [g]);
       });
+      // One that must be spread or joined may have left some for want of a zone, and not of room.
+      const none = want.zoneRoom || want.together ? left === count : left > 0;
+      if (key !== null && none && want.avoid.length === 0) this.full.add(key);
+      return left;
     };
     const finish = (ref: WantRef & { inside: boolean }, count: number): void => {
       const { want } = ref;
@@ -121,7 +146,7 @@
       if (want.service) {
         // A replica that has to fetch its image is late by far more than one that waits for a task to stop.
         const warm = (r: Room) => r.images?.has(want.image) === true;
-        open = place(ref, open, list.filter(warm));
+        open = place(ref, open, warmRooms(want.image));
         if (open > 0) open = fill(promised.filter(warm), want, open, scarce, () => this.addUse(usage, want));
         if (open > 0 && ready) open -= this.preempt(want, open, usage, now, true);
       }
@@ -129,7 +154,12 @@
       if (open <= 0) return void this.unmet.delete(want.job);
       // Room that stops already under way will free is waited for before more is stopped; what comes into it
       // counts as used, or one task's guarantee would be claimed for all.
-      let waiting = fill(promised, want, open, scarce, () => this.addUse(usage, want));
+      const key = `${shapeKey(want)}|promised`;
+      let waiting = open;
+      if (!this.full.has(key)) {
+        waiting = fill(promised, want, open, scarce, () => this.addUse(usage, want));
+        if (waiting === open && !want.whole && want.avoid.length === 0) this.full.add(key);
+      }
       if (waiting <= 0) return;
       // Places come free all the time: a moment's wait often saves the work that a stop would lose.
       const since = this.unmet.get(want.job) ?? now;
@@ -169,8 +199,7 @@
       if (count <= 0 || (want.whole && count < want.count)) continue;
       if (want.service || want.whole || (want.patienceS ?? 0) <= 0) finish(ref, count);
       else {
-        const warm = list.filter((r) => r.images?.has(want.image));
-        cold.push({ ref, count: place(ref, count, warm) });
+        cold.push({ ref, count: place(ref, count, warmRooms(want.image)) });
       }
     }
     for (const c of cold) finish(c.ref, c.count);
@@ -303,6 +332,19 @@
     return { m, victims, cost };
   }
 
+  /** Machines with lower work, of this pass; with an image: those that hold it. */
+  private stoppable(now: number, image: string | null): Machine[] {
+    let l = this.stops.get(image);
+    if (!l) {
+      const all = image === null ? this.l.machines.values() : this.stoppable(now, null);
+      l = [];
+      for (const m of all)
+        if (image === null ? m.sum.batch.cpus > 0 && this.l.usable(m, now) : m.images.has(image)) l.push(m);
+      this.stops.set(image, l);
+    }
+    return l;
+  }
+
   /** Stops lower work so that `count` tasks of a want find room; least lost work first. */
   private preempt(
     w: Want,
@@ -316,18 +358,24 @@
     let lower = false;
     for (let k = w.rank + 1; k < 4; k++) if (this.l.total.ranks[k]! > 0) lower = true;
     if (!lower && !inside) return 0;
+    // A pass with hundreds of replicas without room looked at every machine for each of them: half a keeper's time at
+    // two thousand machines. What one want could not be made room for, others like it can't be either.
+    const key = `${shapeKey(w)}|${inside}|${warmOnly ? w.image : ''}`;
+    if (this.hopeless.has(key)) return 0;
     const stops = new Map<string, { job: string; idx: number; attempt: number }[]>();
     type Pick = { m: Machine; victims: Entry[]; cost: number };
     const offers: Pick[] = [];
-    for (const m of this.l.machines.values()) {
-      if (m.sum.batch.cpus <= 0 || (warmOnly && !m.images.has(w.image)) || !this.l.usable(m, now)) continue;
+    for (const m of this.stoppable(now, warmOnly ? w.image : null)) {
+      const { batch, free } = m.sum;
+      if (batch.cpus + free.cpus + 1e-9 < w.cpus || batch.mem + free.mem + 1e-9 < w.mem) continue;
       const o = this.offer(m, w, usage, now);
       if (o) offers.push(o);
     }
+    // Cheapest last; one that is taken may have more to offer, at a higher cost.
+    offers.sort((a, b) => b.cost - a.cost);
     let picked = 0;
     for (; picked < count; picked++) {
-      let pick: Pick | null = null;
-      for (const o of offers) if (!pick || o.cost < pick.cost) pick = o;
+      const pick = offers.pop();
       if (!pick) break;
       this.addUse(usage, w);
       // What is freed is for this want; lower work would only have to be stopped again.
@@ -345,9 +393,12 @@
         stops.set(inst, l);
       }
       const again = this.offer(pick.m, w, usage, now);
-      if (again) Object.assign(pick, again);
-      else offers.splice(offers.indexOf(pick), 1);
+      if (!again) continue;
+      let at = offers.length;
+      while (at > 0 && offers[at - 1]!.cost < again.cost) at--;
+      offers.splice(at, 0, again);
     }
+    if (picked < count && w.avoid.length === 0) this.hopeless.add(key);
     for (const [inst, tasks] of stops)
       this.o.send(inst, { k: 'evict', token: this.l.token, tasks, why: `room for ${w.job}` });
     return picked;
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -34,6 +34,42 @@
   return !w.zoneRoom || (w.zoneRoom[r.zone] ?? w.zoneCap) > 0;
 }
 
+/**
+ * Wants of one key find room in the same places, or in none: rooms only shrink in a pass, so that what the first of
+ * them did not find the others need not look for. What ties a want to itself (machines it avoids, room kept for it) is
+ * not part of it.
+ */
+export function shapeKey(w: Want): string {
+  let key = keys.get(w);
+  if (key === undefined) {
+    key = makeKey(w);
+    keys.set(w, key);
+  }
+  return key;
+}
+
+const keys = new WeakMap<Want, string>();
+
+function makeKey(w: Want): string {
+  const zones = w.zoneRoom ? JSON.stringify(w.zoneRoom) : '';
+  const patient = w.spot && !w.service && (w.patienceS ?? 0) > 0;
+  return [
+    w.team,
+    w.rank,
+    w.cpus,
+    w.gpus,
+    w.mem,
+    w.types?.join() ?? '',
+    w.spot,
+    w.service,
+    w.zone ?? '',
+    zones,
+    w.zoneCap,
+    w.together,
+    patient,
+  ].join('|');
+}
+
 export function slots(
   t: { cpus: number; gpus: number; mem: number },
   w: { cpus: number; gpus: number; mem: number },
--- a/test/grown.test.ts
+++ b/test/grown.test.ts
@@ -5,7 +5,8 @@
 import type { Clock, StateEvent, StatePort, Then } from '../src/core/types.js';
 import { job } from './standin/day.js';
 import { keeper, listed, makeWant } from './standin/keeper.js';
-import { TYPES, World } from './standin/world.js';
+import { SHAPE } from './standin/shape.js';
+import { World } from './standin/world.js';
 
 test('a machine that is heard but does not hear is given nothing, then deleted, and one that hears is kept', () => {
   const t = keeper(5);
@@ -94,7 +95,7 @@
     for (const type of ['small', 'big']) if (zone === 'b') capacity.refused({ type, zone, spot: false }, 0);
   const want = makeWant('wk-1', { service: true, rank: 0, spot: false, cpus: 4, zoneRoom: {}, zoneCap: 4 });
   const input = {
-    types: TYPES,
+    types: SHAPE.types,
     capacity,
     now: 0,
     amortizeS: 60,
@@ -103,11 +104,11 @@
     maxCalls: 4,
   };
   const first = planRentals({ ...input, left: [{ want, count: 8 }], coming: [] });
-  const slots = first.reduce((n, r) => n + r.n * (TYPES.find((t) => t.name === r.type)!.cpus / 4), 0);
+  const slots = first.reduce((n, r) => n + r.n * (SHAPE.types.find((t) => t.name === r.type)!.cpus / 4), 0);
   expect(slots).toBe(4);
   const coming = first.flatMap((r) =>
     Array.from({ length: r.n }, () => {
-      const t = TYPES.find((x) => x.name === r.type)!;
+      const t = SHAPE.types.find((x) => x.name === r.type)!;
       return {
         name: '',
         type: t.name,
--- a/test/standin/day.ts
+++ b/test/standin/day.ts
@@ -1,6 +1,6 @@
 import type { JobSpec } from '../../src/core/types.js';
 import type { Mode } from './sim.js';
-import { TEAMS, World } from './world.js';
+import { World } from './world.js';
 
 export function job(w: World, over: Partial<JobSpec>): JobSpec {
   return {
@@ -34,7 +34,7 @@
   const shape = s.pick(['array', 'array', 'array', 'service', 'gang'] as const);
   const checkpointS = s.chance(0.3) ? 1 : 0;
   return job(w, {
-    team: s.pick(TEAMS).name,
+    team: s.pick(w.shape.teams).name,
     shape,
     rank: shape === 'service' ? 0 : s.pick([1, 2, 3] as const),
     tasks: shape === 'array' ? 1 + Math.floor(s.random() * 14) : 1 + Math.floor(s.random() * 3),
--- a/test/standin/keeper.ts
+++ b/test/standin/keeper.ts
@@ -11,7 +11,7 @@
   WorkerCommand,
   WorkerReport,
 } from '../../src/core/types.js';
-import { TEAMS, TYPES } from './world.js';
+import { SHAPE } from './shape.js';
 
 /** A keeper alone, with hand-made reports and a worker whose answers the test decides on. */
 export function keeper(token: number, policy: Partial<Policy> = {}) {
@@ -28,7 +28,7 @@
   const k = new Keeper({
     inst: 'a',
     token,
-    teams: new Map(TEAMS.map((t) => [t.name, t])),
+    teams: new Map(SHAPE.teams.map((t) => [t.name, t])),
     workers: { reportS: 2, leaseS: 20, cancelS: 40 },
     listLagS: 3,
     cloudRps: 5,
@@ -51,7 +51,7 @@
       list: (_s, cb) => cb({ ok: true, value: { machines: list, more: false } }),
     },
     worker: { commands: (_a, _t, _s, cmds, cb) => calls.push({ cmds, cb }) },
-    types: () => TYPES,
+    types: () => SHAPE.types,
     policy: () => ({
       reserve_replicas: 0,
       reserve_batch: 0,
@@ -74,7 +74,7 @@
     resign: (why) => resigned.push(why),
     raise: (why) => raised.push(why),
   });
-  k.setOwners(new Map(TEAMS.map((t) => [t.name, { inst: 'o', gen: 1 }])));
+  k.setOwners(new Map(SHAPE.teams.map((t) => [t.name, { inst: 'o', gen: 1 }])));
   k.fromOwner({
     k: 'sync',
     token,
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -9,57 +9,19 @@
   JobSpec,
   ListedMachine,
   Logger,
-  MachineType,
   Result,
   StatePort,
-  Team,
   Then,
   WorkerPort,
   WorkerReport,
 } from '../../src/core/types.js';
 import { checkPolicy } from '../../src/settings/policy.js';
+import { SHAPE, type Shape } from './shape.js';
 import { type Answer, Net, Sim } from './sim.js';
 import { StateStandin } from './state.js';
 import { WorkerStandin } from './worker.js';
 
 const POLICY = checkPolicy(readFileSync(new URL('../../deploy/policy.toml', import.meta.url), 'utf8'));
-export const LEASE_S = 20;
-export const CANCEL_S = 40;
-const REPORT_S = 2;
-const LIMITS = { ops: 16, valueKb: 4 };
-
-export const TYPES: MachineType[] = [
-  {
-    name: 'small',
-    cpus: 4,
-    gpus: 0,
-    mem: 8,
-    cacheGb: 20,
-    fetchGbPerS: 1,
-    price: 0.2,
-    spotPrice: 0.08,
-    bootS: 8,
-    zones: ['a', 'b'],
-  },
-  {
-    name: 'big',
-    cpus: 16,
-    gpus: 0,
-    mem: 64,
-    cacheGb: 20,
-    fetchGbPerS: 1,
-    price: 0.9,
-    spotPrice: 0.36,
-    bootS: 5,
-    zones: ['a'],
-  },
-];
-export const TEAMS: Team[] = [
-  { name: 'red', cpus: 12, cpusMax: 40, gpus: 0, gpusMax: 0 },
-  { name: 'blue', cpus: 8, cpusMax: 24, gpus: 0, gpusMax: 0 },
-  { name: 'free', cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 },
-];
-
 interface UserJob {
   spec: JobSpec;
   accepted: boolean;
@@ -83,7 +45,7 @@
   readonly sim: Sim;
   readonly net: Net;
   readonly state: StateStandin;
-  readonly hosts = ['c0', 'c1', 'c2'];
+  readonly hosts: string[];
   readonly procs = new Map<string, Proc>();
   readonly workers = new Map<string, WorkerStandin>();
   readonly jobs = new Map<string, UserJob>();
@@ -97,7 +59,7 @@
   copies = false;
   /** From here on nothing but work is asked of the controllers. */
   quietFrom = Number.POSITIVE_INFINITY;
-  capacity = 12;
+  capacity: number;
   starts = 0;
   private machines = 0;
   private instances = 0;
@@ -106,7 +68,12 @@
   private readonly booted = new Map<string, { l: ListedMachine; at: number }>();
   private readonly on = new Map<string, string>();
 
-  constructor(seed: number) {
+  constructor(
+    seed: number,
+    readonly shape: Shape = SHAPE,
+  ) {
+    this.hosts = shape.hosts;
+    this.capacity = shape.capacity;
     this.sim = new Sim(seed);
     this.net = new Net(this.sim);
     this.state = new StateStandin(this.sim);
@@ -142,16 +109,13 @@
       host,
       inst,
       peers: this.hosts.filter((h) => h !== host),
-      teams: TEAMS,
-      workers: { reportS: REPORT_S, leaseS: LEASE_S, cancelS: CANCEL_S },
-      state: { valueKb: LIMITS.valueKb, txnOps: LIMITS.ops, writeRps: 100 },
+      teams: this.shape.teams,
+      workers: { reportS: this.shape.reportS, leaseS: this.shape.leaseS, cancelS: this.shape.cancelS },
+      state: { valueKb: this.shape.valueKb, txnOps: this.shape.ops, writeRps: this.shape.writeRps },
       listLagS: 3,
       cloudRps: 5,
-      objectives: [
-        { kind: 'wait', cls: 'c', withinS: 1 },
-        { kind: 'finished', cls: 'c', withinS: 20 },
-      ],
-      ttlMs: 2500,
+      objectives: this.shape.objectives,
+      ttlMs: this.shape.ttlMs,
       policy: POLICY,
       clock,
       log: this.logger(host),
@@ -203,7 +167,7 @@
       list: (pre, since, _u, cb) => ask((r) => r(s.list(host, pre, since, 50)), cb),
       txn: (t, _u, cb) => {
         const copy = JSON.parse(JSON.stringify(t));
-        ask((r) => r(s.txn(host, copy, LIMITS)), cb);
+        ask((r) => r(s.txn(host, copy, this.shape)), cb);
       },
       grant: (ttl, cb) => ask((r) => r(s.grant(host, ttl)), cb),
       touch: (l, cb) => ask((r) => r(s.touch(host, l)), cb),
@@ -218,7 +182,7 @@
         const copy = JSON.parse(JSON.stringify(cmds));
         // What was executed may be executed once more, long after.
         if (this.copies && this.sim.chance(0.3))
-          this.sim.after(this.sim.between(500, LEASE_S * 2500), () =>
+          this.sim.after(this.sim.between(500, this.shape.leaseS * 2500), () =>
             this.workers.get(addr)?.direct(token, season, copy, noop),
           );
         this.net.call<{ ok: boolean; report: WorkerReport }>(
@@ -253,7 +217,7 @@
         (a) => p.alive && cb(a.got ? a.value : { ok: false, kind: a.sent ? 'unknown' : 'refused' }),
       );
     return {
-      types: (cb) => ask(() => ({ ok: true, value: TYPES }), cb),
+      types: (cb) => ask(() => ({ ok: true, value: this.shape.types }), cb),
       rent: (claim, type, zone, spot, n, cb) =>
         ask(() => {
           const old = this.claims.get(claim);
@@ -283,7 +247,7 @@
     const l: ListedMachine = { name, addr: name, type, zone, spot, phase: 'booting', ageS: 0 };
     this.booted.set(name, { l, at: this.sim.now });
     if (this.sim.chance(0.1)) return name;
-    const t = TYPES.find((x) => x.name === type)!;
+    const t = this.shape.types.find((x) => x.name === type)!;
     if (this.sim.chance(0.05)) this.faulty.add(name);
     this.sim.after(this.sim.between(0.3, 1.5) * t.bootS * 1000, () => {
       if (!this.booted.has(name)) return;
@@ -291,8 +255,8 @@
       this.workers.set(
         name,
         new WorkerStandin(name, type, zone, spot, t, this.workerWorld(), {
-          reportMs: REPORT_S * 1000,
-          leaseMs: LEASE_S * 1000,
+          reportMs: this.shape.reportS * 1000,
+          leaseMs: this.shape.leaseS * 1000,
         }),
       );
     });
@@ -302,10 +266,10 @@
   /** A machine that is up at once, for tests of their own. */
   machine(type: string, zone: string, spot: boolean): WorkerStandin {
     const name = `vm-${String(++this.machines).padStart(6, '0')}`;
-    const t = TYPES.find((x) => x.name === type)!;
+    const t = this.shape.types.find((x) => x.name === type)!;
     const m = new WorkerStandin(name, type, zone, spot, { ...t }, this.workerWorld(), {
-      reportMs: REPORT_S * 1000,
-      leaseMs: LEASE_S * 1000,
+      reportMs: this.shape.reportS * 1000,
+      leaseMs: this.shape.leaseS * 1000,
     });
     this.workers.set(name, m);
     return m;
@@ -339,7 +303,7 @@
       copy: (r: WorkerReport) => {
         if (!this.copies || !this.sim.chance(0.3)) return;
         const text = JSON.stringify(r);
-        this.sim.after(this.sim.between(500, LEASE_S * 2500), () => {
+        this.sim.after(this.sim.between(500, this.shape.leaseS * 2500), () => {
           const p = this.procs.get(this.anyHost());
           if (p?.alive) p.ctl.report(JSON.parse(text));
         });
@@ -488,7 +452,7 @@
         if (at.has(key)) this.fault(`ran_twice: ${key} on ${at.get(key)} and ${place}`);
         at.set(key, place);
         use.set(s.team, (use.get(s.team) ?? 0) + s.cpus);
-        if (j.cancelledAt !== null && this.sim.now - j.cancelledAt > CANCEL_S * 1000)
+        if (j.cancelledAt !== null && this.sim.now - j.cancelledAt > this.shape.cancelS * 1000)
           this.fault(`ran_cancelled: ${key} on ${place}`);
         if (this.on.get(key) === place) continue;
         this.starts++;
@@ -511,7 +475,7 @@
         this.fault(`forgotten: no question about ${j.spec.id} is answered`);
         j.answeredAt = this.sim.now;
       }
-    for (const t of TEAMS)
+    for (const t of this.shape.teams)
       if (t.cpusMax > 0 && (use.get(t.name) ?? 0) > t.cpusMax + 1e-9)
         this.fault(`quota: ${t.name} uses ${use.get(t.name)}`);
     this.on.clear();
