Late repeats of executed commands; ended tasks removed together; ranked once per want; evictions kept by themselves

A direct start that was carried out may be repeated late while its token stands: attempts that were stopped stay listed by their worker until a higher token. Removal of ended tasks is put together: each change makes a worker report.

--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -267,6 +267,7 @@
 
   private returnIdle(now: number, left: { want: Want; count: number }[]): void {
     if (!this.l.allSynced() || now - this.l.startedAt < 5000) return;
+    this.l.refresh();
     const input = this.l.policyInput();
     const idleMs = new Map(
       [...this.l.types.values()].map((t) => [
@@ -291,7 +292,7 @@
           this.remove(m, 'did not come up in time');
         continue;
       }
-      if (m.entries.size > 0 || m.tasks.size > m.strangers.size) continue;
+      if (m.sum.busy > 0) continue;
       if ([...m.tasks.values()].some((x) => x.phase !== 'exited')) continue;
       if (m.retired || m.leaving || m.leaveAt !== null) {
         this.remove(m, 'empty, and not used any more');
@@ -342,7 +343,7 @@
     let going = 0;
     for (const m of this.l.machines.values()) {
       if (m.leaving) {
-        if (m.entries.size > 0) going++;
+        if (m.sum.busy > 0) going++;
         continue;
       }
       const t = this.l.types.get(m.type);
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -3,10 +3,23 @@
 import { type Entry, isNewer, type Machine, newEntry } from './machine.js';
 import { Placing } from './placing.js';
 import type { Policy } from './policy.js';
-import type { Held, ListedMachine, OwnerMsg, Seen, WorkerCommand, WorkerReport } from './types.js';
+import type {
+  Held,
+  ListedMachine,
+  OwnerMsg,
+  Seen,
+  TaskReport,
+  WorkerCommand,
+  WorkerReport,
+} from './types.js';
 import { taskKey } from './types.js';
 
 const COMMANDS_AT_ONCE = 200;
+/** Ended tasks of a machine that are removed together, and how long one waits for others. */
+const REAPS_TOGETHER = 4;
+const REAP_MS = 20000;
+/** Tasks on a machine above which ended ones are removed in any case: its reports have a limit. */
+const MOST_KEPT = 100;
 /** Part of a zone's machines that are silent when the zone is taken for cut off. */
 const CUT_SHARE = 0.6;
 
@@ -150,6 +163,7 @@
       e.listed = m.tasks.get(key) ?? null;
     } else {
       // A stop is not taken back.
+      if (h.want === 'reap' && e.want !== 'reap') e.since = this.o.clock.now();
       if (!(e.want === 'stop' && h.want === 'run')) e.want = h.want;
       e.graceS = h.graceS;
       e.season = h.season > 0 ? h.season : e.season;
@@ -316,6 +330,7 @@
       }
       this.tell(m, e);
     }
+    for (const key of m.direct) if (!m.tasks.has(key) && !m.entries.has(key)) m.direct.delete(key);
     for (const key of m.strangers.keys()) if (!m.tasks.has(key)) m.strangers.delete(key);
     for (const key of m.tasks.keys())
       if (!m.entries.has(key) && !m.strangers.has(key)) m.strangers.set(key, now);
@@ -400,7 +415,9 @@
   /** What this machine should do now. With `tally`: carried by the answer to that report. */
   private commands(m: Machine, tally: number | null): WorkerCommand[] {
     const out: WorkerCommand[] = [];
+    const reaps: WorkerCommand[] = [];
     const now = this.o.clock.now();
+    let since = now;
     for (const e of m.entries.values()) {
       if (out.length >= COMMANDS_AT_ONCE) break;
       if (e.want === 'hold' || e.settled) continue;
@@ -411,6 +428,7 @@
         if (tally === null) {
           if (e.sentWith >= 0) continue;
           e.direct = true;
+          m.direct.add(e.key);
         } else e.sentWith = tally;
         e.timed = true;
         out.push({ op: 'start', ...id });
@@ -419,10 +437,13 @@
         out.push({ op: 'stop', ...id, graceS: e.graceS });
       } else if (e.want === 'reap') {
         // A start that may still arrive would run the task again once it is forgotten.
-        if (t?.phase === 'exited' && !m.doubt.has(e.key) && !e.direct && e.sentWith < 0)
-          out.push({ op: 'reap', ...id });
+        if (t?.phase !== 'exited' || e.direct || e.sentWith >= 0 || !this.mayReap(m, t, e.key)) continue;
+        reaps.push({ op: 'reap', ...id });
+        since = Math.min(since, e.since);
       }
     }
+    // Each change of a machine's tasks makes it report once more: ended ones are removed together, or with something else.
+    if (out.length > 0 || reaps.length >= REAPS_TOGETHER || now - since > REAP_MS) out.push(...reaps);
     if (m.strangers.size > 0 && this.o.entitled() && this.l.allSynced()) {
       for (const [key, since] of m.strangers) {
         if (out.length >= COMMANDS_AT_ONCE) break;
@@ -434,12 +455,22 @@
         if (now - since < 3000 || now - this.l.startedAt < 3000) continue;
         const id = { job: t.job, idx: t.idx, attempt: t.attempt };
         if (t.phase !== 'exited') out.push({ op: 'stop', ...id, graceS: 0 });
-        else if (!m.doubt.has(key)) out.push({ op: 'reap', ...id });
+        else if (this.mayReap(m, t, key)) out.push({ op: 'reap', ...id });
       }
     }
     return out;
   }
 
+  /**
+   * As long as a worker lists an ended attempt, repeating its start has no effect. A direct command that was carried
+   * out may be repeated late, as long as its token is the highest: one that was stopped would run again, perhaps beside
+   * its successor. What is done ends at once when it is started again. A few dozen are kept at most.
+   */
+  private mayReap(m: Machine, t: TaskReport, key: string): boolean {
+    if (m.doubt.has(key)) return false;
+    return t.why === 'done' || !m.direct.has(key) || m.tasks.size > MOST_KEPT;
+  }
+
   /** Sends what there is straight to the worker, one call at a time. */
   private direct(m: Machine, probe = false): void {
     if (m.directBusy || m.addr === '' || m.removing || !this.o.entitled()) return;
@@ -592,12 +623,14 @@
 
   /** A stop that its owner did not act on is asked for again. */
   private forgetEvictions(now: number): void {
-    for (const m of this.l.machines.values())
-      for (const e of m.entries.values())
-        if (e.evicting > 0 && e.want === 'run' && now - e.evicting > 5000) {
-          e.evicting = 0;
-          this.l.touch(m);
-        }
+    for (const e of this.l.evictions) {
+      if (e.want === 'run' && now - e.evicting <= 5000) continue;
+      this.l.evictions.delete(e);
+      if (e.want !== 'run') continue;
+      e.evicting = 0;
+      const m = this.l.machines.get(e.machine);
+      if (m) this.l.touch(m);
+    }
   }
 
   /** Tasks on a machine about to be taken, or retired, move while there is time. */
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -76,6 +76,8 @@
   /** Machines that are up and have something free, or something about to be free. */
   readonly withRoom = new Set<Machine>();
   readonly withStops = new Set<Machine>();
+  /** Entries whose owners were asked to stop them. */
+  readonly evictions = new Set<Entry>();
   private readonly used = new Map<string, { cpus: number; gpus: number }>();
   readonly total = { services: 0, serviceCpus: 0, batchTasks: 0, ranks: [0, 0, 0, 0] };
   private typeList: MachineType[] = [];
@@ -146,13 +148,13 @@
 
   removeEntry(m: Machine, e: Entry): void {
     m.entries.delete(e.key);
+    this.evictions.delete(e);
     if (e.want === 'hold') {
       this.grantAt.delete(e.grant);
       const ids = this.holds.get(e.job);
       ids?.delete(e.grant);
       if (ids?.size === 0) this.holds.delete(e.job);
     }
-    if (m.entries.size === 0) m.idleSince = this.o.clock.now();
     this.touch(m);
   }
 
@@ -171,9 +173,11 @@
     }
     for (const m of this.touched) {
       this.count(m, -1);
+      const busy = m.sum.busy;
       m.sum = this.machines.get(m.name) === m ? sumUp(m, this.types.get(m.type)) : emptySum();
       this.count(m, 1);
       const s = m.sum;
+      if (busy > 0 && s.busy === 0) m.idleSince = this.o.clock.now();
       if (m.up && s.known && s.free.cpus > 1e-9) this.withRoom.add(m);
       else this.withRoom.delete(m);
       if (m.up && s.known && s.stopping.cpus > 0) this.withStops.add(m);
@@ -314,6 +318,7 @@
     const stops = new Map<string, { job: string; idx: number; attempt: number }[]>();
     for (const e of entries) {
       e.evicting = now;
+      this.evictions.add(e);
       const m = this.machines.get(e.machine);
       if (m) this.touch(m);
       const inst = this.owners.get(e.team)?.inst;
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -54,6 +54,8 @@
   /** Starts sent directly without an answer, with the token they were sent under: they may still arrive. */
   doubt: Map<string, number>;
   doubtSince: number;
+  /** Attempts that this keeper started directly: a late repeat of the command would start them once more. */
+  direct: Set<string>;
   images: Map<string, number>;
   removing: boolean;
   retired: boolean;
@@ -88,6 +90,8 @@
   services: number;
   serviceCpus: number;
   batchTasks: number;
+  /** Entries whose outcome is not stored yet: a machine without any is empty, whatever it still lists as ended. */
+  busy: number;
   /** Something may have to be sent: a start, a stop or a reap. */
   todo: boolean;
   /** Running entries by rank. */
@@ -105,6 +109,7 @@
     services: 0,
     serviceCpus: 0,
     batchTasks: 0,
+    busy: 0,
     todo: false,
     ranks: [0, 0, 0, 0],
   };
@@ -123,6 +128,7 @@
     s.free = { cpus: t.cpus, gpus: t.gpus, mem: t.mem };
   }
   for (const e of m.entries.values()) {
+    if (e.want !== 'reap') s.busy++;
     if (e.want === 'stop' || e.want === 'reap' || (e.want === 'run' && !e.listed)) s.todo = true;
     if (!takesRoom(e)) continue;
     add(s.free, e, -1);
@@ -172,6 +178,7 @@
     probeFails: 0,
     doubt: new Map(),
     doubtSince: 0,
+    direct: new Set(),
     images: new Map(),
     removing: false,
     retired: false,
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -332,17 +332,22 @@
     return { m, victims, cost };
   }
 
-  /** Machines with lower work, of this pass; with an image: those that hold it. */
+  /** Machines with work that may be stopped, of this pass; with an image: those that hold it. */
   private stoppable(now: number, image: string | null): Machine[] {
-    let l = this.stops.get(image);
-    if (!l) {
-      const all = image === null ? this.l.machines.values() : this.stoppable(now, null);
-      l = [];
-      for (const m of all)
-        if (image === null ? m.sum.batch.cpus > 0 && this.l.usable(m, now) : m.images.has(image)) l.push(m);
-      this.stops.set(image, l);
+    if (this.stops.size === 0) {
+      const all: Machine[] = [];
+      this.stops.set(null, all);
+      for (const m of this.l.machines.values()) {
+        if (m.sum.batch.cpus <= 0 || !this.l.usable(m, now)) continue;
+        all.push(m);
+        for (const name of m.images.keys()) {
+          const l = this.stops.get(name);
+          if (l) l.push(m);
+          else this.stops.set(name, [m]);
+        }
+      }
     }
-    return l;
+    return this.stops.get(image) ?? [];
   }
 
   /** Stops lower work so that `count` tasks of a want find room; least lost work first. */
@@ -384,6 +389,7 @@
       this.l.touch(pick.m);
       for (const e of pick.victims) {
         e.evicting = now;
+        this.l.evictions.add(e);
         const u = usage.get(e.team);
         if (u) u.cpus -= e.cpus;
         const inst = this.l.owners.get(e.team)?.inst;
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -103,6 +103,18 @@
   return v;
 }
 
+/** Whether a task of this want may go here now. */
+function open(r: Room, w: Want, scarceZone: string | null): boolean {
+  if (!fits(r, w)) return false;
+  if (r.reserved && r.reserved.job !== w.job && w.rank > 0) return false;
+  // The ordinary room of a zone that jobs which must be spread depend on is theirs; what can be stopped
+  // for them may use it meanwhile.
+  if (scarceZone === r.zone && !r.spot && w.service && !w.zoneRoom && w.zone === null) return false;
+  // Work that has time and may use cheap machines lets it run empty, to be returned.
+  if (r.surplus && w.spot && !w.service && (w.patienceS ?? 0) > 0) return false;
+  return allowed(r, w) && !w.avoid.includes(r.name);
+}
+
 export function best(
   rooms: Iterable<Room>,
   w: Want,
@@ -112,13 +124,7 @@
   let found: Room | null = null;
   let rank = Number.POSITIVE_INFINITY;
   for (const r of rooms) {
-    if (r.reserved && r.reserved.job !== w.job && w.rank > 0) continue;
-    // The ordinary room of a zone that jobs which must be spread depend on is theirs; what can be stopped
-    // for them may use it meanwhile.
-    if (scarceZone === r.zone && !r.spot && w.service && !w.zoneRoom && w.zone === null) continue;
-    // Work that has time and may use cheap machines lets it run empty, to be returned.
-    if (r.surplus && w.spot && !w.service && (w.patienceS ?? 0) > 0) continue;
-    if (!fits(r, w) || !allowed(r, w) || w.avoid.includes(r.name) || full?.(r)) continue;
+    if (!open(r, w, scarceZone) || full?.(r)) continue;
     const v = rankRoom(r, w, scarceZone);
     if (v < rank) {
       rank = v;
@@ -143,23 +149,34 @@
   // Replicas of a job go to several machines: less is lost with one, and its image is in more places for the next.
   const per = w.service && w.job !== '' ? Math.max(1, Math.ceil(count / SPREAD)) : count;
   const here = new Map<Room, number>();
-  let apart = per < count;
-  while (left > 0) {
-    const r = best(rooms, v, scarceZone, apart ? (x) => (here.get(x) ?? 0) >= per : undefined);
-    if (!r && apart) {
-      apart = false;
-      continue;
-    }
-    if (!r) break;
-    if (v.together && v.zone === null) v.zone = r.zone;
+  const use = (r: Room, most: number) => {
     // The fuller a machine the better it ranks: the best one stays the best while it has room.
-    do {
+    while (left > 0 && fits(r, w) && allowed(r, v) && (here.get(r) ?? 0) < most) {
+      if (v.together && v.zone === null) v.zone = r.zone;
       take(r, w);
       if (zoneRoom) zoneRoom[r.zone] = (zoneRoom[r.zone] ?? w.zoneCap) - 1;
       each(r);
       left--;
       here.set(r, (here.get(r) ?? 0) + 1);
-    } while (left > 0 && fits(r, w) && allowed(r, v) && !(apart && (here.get(r) ?? 0) >= per));
+    }
+  };
+  // Taking from one room changes the rank of no other: they are ranked once, and not for every task anew.
+  for (const most of per < count ? [per, count] : [count]) {
+    if (left <= 0) break;
+    if (left === 1) {
+      const r = best(rooms, v, scarceZone, (x) => (here.get(x) ?? 0) >= most);
+      if (r) use(r, most);
+      continue;
+    }
+    const ranked: { r: Room; rank: number }[] = [];
+    for (const r of rooms)
+      if (open(r, v, scarceZone) && (here.get(r) ?? 0) < most)
+        ranked.push({ r, rank: rankRoom(r, w, scarceZone) });
+    ranked.sort((x, y) => x.rank - y.rank);
+    for (const { r } of ranked) {
+      if (left <= 0) break;
+      use(r, most);
+    }
   }
   return left;
 }
--- a/src/io/http.ts
+++ b/src/io/http.ts
@@ -1,5 +1,6 @@
 import type http from 'node:http';
-import { serve } from '@hono/node-server';
+import { type HttpBindings, serve } from '@hono/node-server';
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { type Context, Hono } from 'hono';
 import type { Controller } from '../core/controller.js';
 import type { DoorAnswer } from '../core/door.js';
@@ -39,8 +40,48 @@
   return text.length > MOST_BODY || Buffer.byteLength(text) > MOST_BODY ? null : text;
 }
 
-export function makeApp(ctl: Controller, clock: Clock, log: Logger, sockets?: Sockets): Hono {
-  const app = new Hono();
+/** A report's body. Node's own stream is read where there is one: web streams cost as much as all the rest of a report. */
+function readRaw(c: Context<{ Bindings: Partial<HttpBindings> }>): Promise<string | null> {
+  const incoming = c.env?.incoming;
+  if (!incoming) return read(c);
+  return new Promise((done) => {
+    const parts: Buffer[] = [];
+    let size = 0;
+    incoming.on('data', (b: Buffer) => {
+      size += b.length;
+      if (size <= MOST_BODY) parts.push(b);
+    });
+    incoming.on('end', () => done(size > MOST_BODY ? null : Buffer.concat(parts).toString('utf8')));
+    incoming.on('close', () => done(null));
+  });
+}
+
+/** An answer written straight to Node's response where there is one. */
+function plain(
+  c: Context<{ Bindings: Partial<HttpBindings> }>,
+  status: 200 | 421,
+  body: object,
+  sockets: Sockets | undefined,
+): Response {
+  const out = c.env?.outgoing;
+  if (!out || !('writeHead' in out)) return c.json(body, status);
+  const data = Buffer.from(JSON.stringify(body));
+  const headers: http.OutgoingHttpHeaders = {
+    'Content-Type': 'application/json',
+    'Content-Length': data.length,
+  };
+  if (sockets?.crowded(c.req.path)) headers.Connection = 'close';
+  (out as http.ServerResponse).writeHead(status, headers).end(data);
+  return RESPONSE_ALREADY_SENT;
+}
+
+export function makeApp(
+  ctl: Controller,
+  clock: Clock,
+  log: Logger,
+  sockets?: Sockets,
+): Hono<{ Bindings: Partial<HttpBindings> }> {
+  const app = new Hono<{ Bindings: Partial<HttpBindings> }>();
   if (sockets)
     app.use(async (c, next) => {
       await next();
@@ -93,16 +134,17 @@
   );
   app.get('/ready', (c) => (ctl.ready() ? c.json({ ready: true }) : later(c, 'not ready')));
   app.post('/hello', async (c) => {
-    const body = parse(await c.req.text());
+    const text = await readRaw(c);
+    const body = text === null ? null : parse(text);
     const report = readReport(body);
     if (!report) {
       log.info({ machine: isObj(body) ? str(body.trunk) : null }, 'malformed report dropped');
       return c.json({ error: 'malformed report' }, 400);
     }
     const a = ctl.report(report);
-    if (a.s === 'ok') return c.json(writeAnswer(a.token, a.cmds));
     if (a.s === 'later') return later(c, 'state service not reached');
-    return c.json(a.keeper === null ? {} : { keeper: a.keeper }, 421);
+    if (a.s === 'ok') return plain(c, 200, writeAnswer(a.token, a.cmds), sockets);
+    return plain(c, 421, a.keeper === null ? {} : { keeper: a.keeper }, sockets);
   });
   app.notFound((c) => c.json({ error: 'no such path' }, 404));
   app.onError((e, c) => {
@@ -112,7 +154,7 @@
   return app;
 }
 
-export function listen(app: Hono, bind: string, sockets: Sockets, log: Logger): void {
+export function listen(app: ReturnType<typeof makeApp>, bind: string, sockets: Sockets, log: Logger): void {
   const cut = bind.lastIndexOf(':');
   const server = serve({
     fetch: app.fetch,
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -100,3 +100,44 @@
   w.sim.run(cut + 39900);
   expect(m.season).toBeGreaterThan(1);
 });
+
+test('what was started directly and then stopped stays listed: a late repeat of the command must not run it again', () => {
+  const run = (why: 'stopped' | 'done') => {
+    const t = keeper(5, { idle_s: 1e6 });
+    t.report([]);
+    t.tell('run');
+    expect(t.calls[0]?.cmds[0]?.op).toBe('start');
+    t.report([listed('running')]);
+    t.calls.splice(0)[0]!.cb({ ok: false, kind: 'refused' });
+    const ended = [{ ...listed('exited'), why }];
+    t.report(ended);
+    t.tell('reap');
+    const ops = [];
+    for (let i = 0; i < 40; i++) {
+      ops.push(...(t.report(ended) ?? []).map((c) => c.op));
+      t.later(1000);
+      ops.push(...t.calls.flatMap((c) => c.cmds.map((x) => x.op)));
+      for (const c of t.calls.splice(0)) c.cb({ ok: false, kind: 'refused' });
+    }
+    return ops;
+  };
+  expect(run('stopped')).toEqual([]);
+  expect(run('done')).toContain('reap');
+});
+
+test('a machine that lists nothing but what has ended is empty', () => {
+  const t = keeper(5, { idle_s: 10 });
+  t.report([]);
+  t.tell('run');
+  t.report([listed('running')]);
+  t.calls.splice(0)[0]!.cb({ ok: false, kind: 'refused' });
+  const ended = [{ ...listed('exited'), why: 'stopped' as const }];
+  t.report(ended);
+  t.tell('reap');
+  for (let i = 0; i < 30; i++) {
+    t.report(ended);
+    t.later(1000);
+    t.k.flush();
+  }
+  expect(t.removed).toEqual(['m']);
+});
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -1,11 +1,10 @@
-import type { Hono } from 'hono';
 import { beforeAll, expect, test } from 'vitest';
 import type { Clock } from '../src/core/types.js';
 import { makeApp } from '../src/io/http.js';
 import { World } from './standin/world.js';
 
 let w: World;
-let app: Hono;
+let app: ReturnType<typeof makeApp>;
 const log = { debug: () => {}, info: () => {}, error: () => {} };
 
 beforeAll(() => {
