--- a/src/io/http.ts
+++ b/src/io/http.ts
@@ -1,6 +1,3 @@
-import type http from 'node:http';
-import { type HttpBindings, serve } from '@hono/node-server';
-import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
 import { type Context, Hono } from 'hono';
 import type { Controller } from '../core/controller.js';
 import type { DoorAnswer } from '../core/door.js';
@@ -9,9 +6,11 @@
 import { isJobId, readJob, writeState } from '../wire/jobs.js';
 import { isObj, parse, str } from '../wire/json.js';
 import { readReport, writeAnswer } from '../wire/worker.js';
+import { type Answer, HttpServer, type Serve } from './server.js';
 import type { Sockets } from './sockets.js';
 
-const MOST_BODY = 64 * 1024;
+/** Workers of a whole fleet come at once when a keeper is new. */
+const BACKLOG = 2048;
 
 function later(c: Context, reason: string, elsewhere = false): Response {
   c.header('Retry-After', '1');
@@ -33,60 +32,24 @@
   }
 }
 
-/** The body as text, or null if it is over the limit. */
-async function read(c: Context): Promise<string | null> {
-  if (Number(c.req.header('content-length') ?? 0) > MOST_BODY) return null;
-  const text = await c.req.text();
-  return text.length > MOST_BODY || Buffer.byteLength(text) > MOST_BODY ? null : text;
-}
-
-/** A report's body. Node's own stream is read where there is one: web streams cost as much as all the rest of a report. */
-function readRaw(c: Context<{ Bindings: Partial<HttpBindings> }>): Promise<string | null> {
-  const incoming = c.env?.incoming;
-  if (!incoming) return read(c);
-  return new Promise((done) => {
-    const parts: Buffer[] = [];
-    let size = 0;
-    incoming.on('data', (b: Buffer) => {
-      size += b.length;
-      if (size <= MOST_BODY) parts.push(b);
-    });
-    incoming.on('end', () => done(size > MOST_BODY ? null : Buffer.concat(parts).toString('utf8')));
-    incoming.on('close', () => done(null));
-  });
-}
-
-/** An answer written straight to Node's response where there is one. */
-function plain(
-  c: Context<{ Bindings: Partial<HttpBindings> }>,
-  status: 200 | 421,
-  body: object,
-  sockets: Sockets | undefined,
-): Response {
-  const out = c.env?.outgoing;
-  if (!out || !('writeHead' in out)) return c.json(body, status);
-  const data = Buffer.from(JSON.stringify(body));
-  const headers: http.OutgoingHttpHeaders = {
-    'Content-Type': 'application/json',
-    'Content-Length': data.length,
-  };
-  if (sockets?.crowded(c.req.path)) headers.Connection = 'close';
-  (out as http.ServerResponse).writeHead(status, headers).end(data);
-  return RESPONSE_ALREADY_SENT;
+/** A worker's report and its answer. */
+export function report(ctl: Controller, log: Logger, text: string): Answer {
+  const body = parse(text);
+  const r = readReport(body);
+  if (!r) {
+    log.info({ machine: isObj(body) ? str(body.trunk) : null }, 'malformed report dropped');
+    return { status: 400, body: '{"error":"malformed report"}' };
+  }
+  const a = ctl.report(r);
+  if (a.s === 'ok') return { status: 200, body: JSON.stringify(writeAnswer(a.token, a.cmds)) };
+  if (a.s === 'other')
+    return { status: 421, body: JSON.stringify(a.keeper === null ? {} : { keeper: a.keeper }) };
+  return { status: 503, body: '{"error":"state service not reached"}', headers: { 'Retry-After': '1' } };
 }
 
-export function makeApp(
-  ctl: Controller,
-  clock: Clock,
-  log: Logger,
-  sockets?: Sockets,
-): Hono<{ Bindings: Partial<HttpBindings> }> {
-  const app = new Hono<{ Bindings: Partial<HttpBindings> }>();
-  if (sockets)
-    app.use(async (c, next) => {
-      await next();
-      if (sockets.crowded(c.req.path)) c.header('Connection', 'close');
-    });
+/** What users and health checks ask. */
+export function makeApp(ctl: Controller, clock: Clock, log: Logger): Hono {
+  const app = new Hono();
   // Users alone: reports and health checks are never held up by them.
   const limit = new ProgressLimit(64, 8, 400, 400);
 
@@ -103,9 +66,7 @@
 
   app.post('/v2/runs', (c) =>
     limited(c, async () => {
-      const text = await read(c);
-      if (text === null) return c.json({ error: 'body over 64 KiB' }, 400);
-      const job = readJob(parse(text), clock.wall());
+      const job = readJob(parse(await c.req.text()), clock.wall());
       if (job.ok)
         return new Promise((done) => ctl.door.submit(job.spec, (a) => done(answer(c, ctl, job.spec.id, a))));
       const id = job.id;
@@ -133,19 +94,6 @@
     }),
   );
   app.get('/ready', (c) => (ctl.ready() ? c.json({ ready: true }) : later(c, 'not ready')));
-  app.post('/hello', async (c) => {
-    const text = await readRaw(c);
-    const body = text === null ? null : parse(text);
-    const report = readReport(body);
-    if (!report) {
-      log.info({ machine: isObj(body) ? str(body.trunk) : null }, 'malformed report dropped');
-      return c.json({ error: 'malformed report' }, 400);
-    }
-    const a = ctl.report(report);
-    if (a.s === 'later') return later(c, 'state service not reached');
-    if (a.s === 'ok') return plain(c, 200, writeAnswer(a.token, a.cmds), sockets);
-    return plain(c, 421, a.keeper === null ? {} : { keeper: a.keeper }, sockets);
-  });
   app.notFound((c) => c.json({ error: 'no such path' }, 404));
   app.onError((e, c) => {
     log.error({ err: e.stack ?? String(e) }, 'request failed');
@@ -154,20 +102,49 @@
   return app;
 }
 
-export function listen(app: ReturnType<typeof makeApp>, bind: string, sockets: Sockets, log: Logger): void {
+/** Reports go past hono: there are hundreds a second, and web requests and responses cost more than all else of one. */
+export function serve(app: Hono, ctl: Controller, log: Logger): Serve {
+  return (m, answer) => {
+    if (m.method === 'POST' && m.path === '/hello') return answer(report(ctl, log, m.body ?? ''));
+    const headers = new Headers();
+    for (let i = 0; i + 1 < m.headers.length; i += 2) {
+      const name = (m.headers[i] as string).toLowerCase();
+      if (name === 'content-type' || name === 'accept') headers.append(name, m.headers[i + 1] as string);
+    }
+    const bare = m.method === 'GET' || m.method === 'HEAD';
+    const failed = (e: unknown) => {
+      log.info({ err: String(e), method: m.method }, 'request dropped');
+      answer({ status: 400, body: '{"error":"malformed request"}' });
+    };
+    let req: Request;
+    try {
+      req = new Request(new URL(m.path, 'http://localhost'), {
+        method: m.method,
+        headers,
+        ...(bare ? {} : { body: m.body ?? '' }),
+      });
+    } catch (e) {
+      return failed(e);
+    }
+    Promise.resolve(app.fetch(req))
+      .then(async (r) => {
+        const out: Record<string, string> = {};
+        const again = r.headers.get('retry-after');
+        if (again !== null) out['Retry-After'] = again;
+        if (r.headers.get('connection') === 'close') out.Connection = 'close';
+        answer({ status: r.status, body: m.method === 'HEAD' ? '' : await r.text(), headers: out });
+      })
+      .catch(failed);
+  };
+}
+
+export function listen(s: Serve, bind: string, sockets: Sockets, clock: Clock, log: Logger): HttpServer {
   const cut = bind.lastIndexOf(':');
-  const server = serve({
-    fetch: app.fetch,
-    hostname: bind.slice(0, cut),
-    port: Number(bind.slice(cut + 1)),
-  }) as http.Server;
-  // Connections stay open until a side closes them; only those idle for long are given up.
-  server.keepAliveTimeout = 120000;
-  server.headersTimeout = 20000;
-  server.requestTimeout = 20000;
-  sockets.attach(server);
-  server.on('error', (e) => {
+  const http = new HttpServer(s, sockets, () => clock.now());
+  http.server.on('error', (e) => {
     log.error({ err: String(e) }, 'cannot listen');
     process.exit(1);
   });
+  http.server.listen({ port: Number(bind.slice(cut + 1)), host: bind.slice(0, cut), backlog: BACKLOG });
+  return http;
 }
--- a/src/io/sockets.ts
+++ b/src/io/sockets.ts
@@ -1,5 +1,4 @@
-import type http from 'node:http';
-import type { Socket } from 'node:net';
+import type { Server, Socket } from 'node:net';
 
 type Kind = 'worker' | 'user' | 'probe';
 
@@ -56,7 +55,7 @@
     return this.open.size;
   }
 
-  attach(server: http.Server): void {
+  attach(server: Server): void {
     server.maxConnections = this.most;
     server.on('connection', (s: Socket) => {
       this.open.set(s, { kind: null, busy: false, used: this.now() });
@@ -67,23 +66,28 @@
       });
       if (this.full()) this.makeRoom();
     });
-    server.prependListener('request', (req: http.IncomingMessage, res: http.ServerResponse) => {
-      const seen = this.open.get(req.socket);
-      if (!seen) return;
-      const kind = kindOf(req.url ?? '');
-      if (seen.kind !== kind) {
-        if (seen.kind) this.count[seen.kind]--;
-        this.count[kind]++;
-        seen.kind = kind;
-      }
-      seen.busy = true;
-      res.once('close', () => {
-        seen.busy = false;
-        seen.used = this.now();
-        // Most recently used last.
-        if (this.open.delete(req.socket)) this.open.set(req.socket, seen);
-      });
-    });
+  }
+
+  asked(s: Socket, path: string): void {
+    const seen = this.open.get(s);
+    if (!seen) return;
+    const kind = kindOf(path);
+    if (seen.kind !== kind) {
+      if (seen.kind) this.count[seen.kind]--;
+      this.count[kind]++;
+      seen.kind = kind;
+    }
+    seen.busy = true;
+  }
+
+  answered(s: Socket): void {
+    const seen = this.open.get(s);
+    if (!seen) return;
+    seen.busy = false;
+    seen.used = this.now();
+    // Most recently used last.
+    this.open.delete(s);
+    this.open.set(s, seen);
   }
 
   private full(): boolean {
--- a/src/main.ts
+++ b/src/main.ts
@@ -6,7 +6,7 @@
 import type { Logger } from './core/types.js';
 import { realClock } from './io/clock.js';
 import { CloudClient } from './io/cloud.js';
-import { listen, makeApp } from './io/http.js';
+import { listen, makeApp, serve as serveHttp } from './io/http.js';
 import { Mesh } from './io/mesh.js';
 import { Sockets, socketBudget } from './io/sockets.js';
 import { StateClient } from './io/state.js';
@@ -87,7 +87,7 @@
   });
   ctl.start();
   const sockets = new Sockets(budget.inbound, realClock.now);
-  listen(makeApp(ctl, realClock, log, sockets), s.bind, sockets, log);
+  listen(serveHttp(makeApp(ctl, realClock, log), ctl, log), s.bind, sockets, realClock, log);
   log.info({ bind: s.bind, mesh: s.mesh_addr }, 'started');
 }
 
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -1,17 +1,19 @@
 import { beforeAll, expect, test } from 'vitest';
 import type { Clock } from '../src/core/types.js';
-import { makeApp } from '../src/io/http.js';
+import { makeApp, serve } from '../src/io/http.js';
+import type { Answer, Serve } from '../src/io/server.js';
 import { World } from './standin/world.js';
 
 let w: World;
-let app: ReturnType<typeof makeApp>;
+let served: Serve;
 const log = { debug: () => {}, info: () => {}, error: () => {} };
 
 beforeAll(() => {
   w = new World(7);
   w.sim.run(3000);
   const clock = { now: () => w.sim.now, wall: () => w.sim.now } as unknown as Clock;
-  app = makeApp(w.procs.get('c0')!.ctl, clock, log);
+  const ctl = w.procs.get('c0')!.ctl;
+  served = serve(makeApp(ctl, clock, log), ctl, log);
 });
 
 async function ask(
@@ -24,13 +26,11 @@
   retry: string | null;
   connection: string | null;
 }> {
-  const text = typeof body === 'string' || body === undefined ? body : JSON.stringify(body);
-  let done: Response | undefined;
-  void Promise.resolve(app.request(path, { method, ...(text === undefined ? {} : { body: text }) })).then(
-    (r) => {
-      done = r;
-    },
-  );
+  const text = typeof body === 'string' ? body : body === undefined ? '' : JSON.stringify(body);
+  let done: Answer | undefined;
+  served({ method, path, status: 0, headers: [], body: text, keepAlive: true }, (r) => {
+    done = r;
+  });
   for (let i = 0; i < 400 && !done; i++) {
     await new Promise((r) => setImmediate(r));
     w.sim.run(w.sim.now + 20);
@@ -38,9 +38,9 @@
   if (!done) throw new Error('no answer');
   return {
     status: done.status,
-    json: (await done.json()) as Record<string, unknown>,
-    retry: done.headers.get('retry-after'),
-    connection: done.headers.get('connection'),
+    json: JSON.parse(done.body) as Record<string, unknown>,
+    retry: done.headers?.['Retry-After'] ?? null,
+    connection: done.headers?.Connection ?? null,
   };
 }
 
--- a/test/sockets.test.ts
+++ b/test/sockets.test.ts
@@ -1,6 +1,7 @@
 import http from 'node:http';
 import net, { type AddressInfo } from 'node:net';
 import { afterEach, expect, test } from 'vitest';
+import { HttpServer } from '../src/io/server.js';
 import { Sockets, socketBudget } from '../src/io/sockets.js';
 import { WorkerClients } from '../src/io/workers.js';
 
@@ -86,12 +87,14 @@
 
 test('users that hold all connections lock out neither workers nor health checks', async () => {
   const sockets = new Sockets(40, () => performance.now());
-  const server = http.createServer((req, res) => {
-    if (sockets.crowded(req.url ?? '')) res.setHeader('Connection', 'close');
-    res.end('{}');
-  });
-  sockets.attach(server);
-  const addr = await listen(server);
+  const { server } = new HttpServer(
+    (_m, answer) => answer({ status: 200, body: '{}' }),
+    sockets,
+    () => performance.now(),
+  );
+  await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
+  open.push({ close: () => server.close() });
+  const addr = `127.0.0.1:${(server.address() as AddressInfo).port}`;
   const [host, port] = addr.split(':');
   const ask = (path: string) =>
     new Promise<boolean>((done) => {
@@ -122,3 +125,44 @@
     expect(b.inbound * 0.96).toBeGreaterThan(machines);
   }
 });
+
+test('requests are read in pieces, with chunked bodies, one after the other, and nonsense is refused', async () => {
+  const sockets = new Sockets(40, () => performance.now());
+  const { server } = new HttpServer(
+    (m, answer) => {
+      if (m.path === '/throws') throw new Error('a defect');
+      setTimeout(() => answer({ status: 200, body: JSON.stringify([m.method, m.path, m.body]) }), 5);
+    },
+    sockets,
+    () => performance.now(),
+  );
+  await new Promise<void>((done) => server.listen(0, '127.0.0.1', done));
+  open.push({ close: () => server.close() });
+  const talk = (parts: string[]) =>
+    new Promise<string>((done) => {
+      const s = net.connect((server.address() as AddressInfo).port, '127.0.0.1');
+      let got = '';
+      s.on('data', (b) => {
+        got += String(b);
+      });
+      s.on('close', () => done(got));
+      s.on('error', () => done(got));
+      s.on('connect', async () => {
+        for (const p of parts) {
+          s.write(p);
+          await new Promise((r) => setTimeout(r, 5));
+        }
+        setTimeout(() => s.destroy(), 60);
+      });
+    });
+  const chunked = 'Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n';
+  expect(await talk(['POST /a HT', `TP/1.1\r\nHost: x\r\n${chunked}`])).toContain('["POST","/a","hello"]');
+  const two = await talk(['GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b HTTP/1.1\r\nHost: x\r\n\r\n']);
+  expect(two.indexOf('/a')).toBeLessThan(two.indexOf('/b'));
+  expect(await talk(['\x00\x01\x02 nonsense\r\n\r\n'])).toContain('HTTP/1.1 400 ');
+  expect(await talk([`GET /x HTTP/1.1\r\nA: ${'y'.repeat(20000)}`, 'z'.repeat(20000)])).toContain(' 400 ');
+  expect(await talk(['GET /throws HTTP/1.1\r\nHost: x\r\n\r\n'])).toContain('HTTP/1.1 500 ');
+  const large = `POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 70000\r\n\r\n${'x'.repeat(70000)}`;
+  expect(await talk([large])).toContain('HTTP/1.1 400 ');
+  expect(await talk(['GET /a HTTP/1.0\r\n\r\n'])).toContain('Connection: close');
+});
