--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -295,7 +295,6 @@
       this.o.log.debug({ machine: m.name, type: m.type, zone: m.zone, spot: m.spot }, 'machine up');
     }
     this.l.touch(m);
-    this.toDirect.add(m);
     m.tasks.clear();
     for (const t of r.tasks) m.tasks.set(taskKey(t.job, t.idx, t.attempt), t);
     for (const e of [...m.entries.values()]) {
@@ -304,6 +303,7 @@
         continue;
       }
       const t = m.tasks.get(e.key) ?? null;
+      if (e.want === 'stop' || (e.want === 'run' && !t)) this.toDirect.add(m);
       if (t) {
         // The answer that carried its start has been handled, or was dropped.
         if (asReport && r.tally > e.sentWith) e.sentWith = -1;
@@ -773,8 +773,10 @@
     this.l.dirty = false;
     const left = this.placing.pass(now);
     if (now >= this.nextScale) {
-      this.nextScale = now + 1000;
+      const from = this.o.clock.now();
       this.fleet.scale(now, left);
+      // Looks at the whole fleet: less often when that takes long.
+      this.nextScale = now + Math.min(3000, Math.max(1000, (this.o.clock.now() - from) * 40));
     }
     this.pollRemove(now);
     // A pass that takes long is made less often: what comes meanwhile shares the next one.
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -92,7 +92,7 @@
   batchTasks: number;
   /** Entries whose outcome is not stored yet: a machine without any is empty, whatever it still lists as ended. */
   busy: number;
-  /** Something may have to be sent: a start, a stop or a reap. */
+  /** Something may have to be sent at once: a start or a stop. */
   todo: boolean;
   /** Running entries by rank. */
   ranks: [number, number, number, number];
@@ -129,7 +129,7 @@
   }
   for (const e of m.entries.values()) {
     if (e.want !== 'reap') s.busy++;
-    if (e.want === 'stop' || e.want === 'reap' || (e.want === 'run' && !e.listed)) s.todo = true;
+    if (e.want === 'stop' || (e.want === 'run' && !e.listed)) s.todo = true;
     if (!takesRoom(e)) continue;
     add(s.free, e, -1);
     if (e.want === 'stop' || e.evicting) add(s.stopping, e);
