--- a/src/core/door.ts
+++ b/src/core/door.ts
@@ -63,6 +63,10 @@
         );
       });
     }
+    if (this.open.failing) {
+      this.open.probe();
+      return cb({ s: 'later', reason: 'state service not reached' });
+    }
     const rec: OpenRecord = { j: spec };
     const attempt = (left: number) => {
       this.state.txn(
--- a/src/core/mirror.ts
+++ b/src/core/mirror.ts
@@ -18,6 +18,7 @@
   private reading = false;
   private readAt = Number.NEGATIVE_INFINITY;
   private readTimer = false;
+  private failed = false;
   private asks: ((ok: boolean) => void)[] = [];
   /** Counts listings: an answer asked for before one is not applied after it. */
   private epoch = 0;
@@ -52,10 +53,27 @@
    * read that answers a question is always sent after the question came: no answer is older than its question.
    */
   fresh(cb: (ok: boolean) => void): void {
+    // After a read has failed or hung nobody is kept waiting for the next: it probes, and those that come meanwhile
+    // are answered at once.
+    if (this.failing) {
+      this.probe();
+      return cb(false);
+    }
     this.asks.push(cb);
     this.read();
   }
 
+  /** The last read failed; told on the next question, or by asking for a read. */
+  get failing(): boolean {
+    return this.failed;
+  }
+
+  probe(): void {
+    if (this.asks.length > 0 || this.reading) return;
+    this.asks.push(() => {});
+    this.read();
+  }
+
   private read(): void {
     if (this.reading || this.readTimer || this.asks.length === 0) return;
     const now = this.clock.now();
@@ -79,6 +97,7 @@
     this.state.watch(this.prefix, this.rev, 0, (r) => {
       this.reading = false;
       const ok = r.ok && epoch === this.epoch;
+      this.failed = !r.ok;
       if (ok) this.apply(r.value);
       else if (!r.ok && r.kind === 'gone') this.list();
       for (const cb of mine) cb(ok);
--- a/src/io/http.ts
+++ b/src/io/http.ts
@@ -12,8 +12,13 @@
 /** Workers of a whole fleet come at once when a keeper is new. */
 const BACKLOG = 2048;
 
+/** Spread, or all that were refused together would come back together. */
+function comeBack(): string {
+  return String(1 + Math.floor(Math.random() * 3));
+}
+
 function later(c: Context, reason: string, elsewhere = false): Response {
-  c.header('Retry-After', '1');
+  c.header('Retry-After', comeBack());
   // Their next connection is led to a controller that can serve them.
   if (elsewhere) c.header('Connection', 'close');
   return c.json({ error: reason }, 503);
--- a/src/io/pace.ts
+++ b/src/io/pace.ts
@@ -1,5 +1,9 @@
 import type { Urgency } from '../core/types.js';
 
+/** So long a request waits for its turn, urgent ones and others: users give up after five seconds. */
+const PATIENCE_MS = 3000;
+const LESS_MS = 1500;
+
 interface Waiting {
   ops: number;
   until: number;
@@ -35,10 +39,29 @@
   enter(u: Urgency, ops: number, go: (ok: boolean) => void): void {
     this.fill();
     if (u === 0 || (this.ahead(u) === 0 && this.affords(ops))) return this.spend(ops, go);
-    this.queues[u]!.push({ ops, until: Date.now() + (u <= 1 ? 4000 : 1500), go });
+    const patience = u <= 1 ? PATIENCE_MS : LESS_MS;
+    // What would be given up on in the end is refused now.
+    if (this.waitMs(u, ops) > patience) return go(false);
+    this.queues[u]!.push({ ops, until: Date.now() + patience, go });
     this.arm();
   }
 
+  /** How long a request of this urgency would wait, as the queue and the pace stand. */
+  private waitMs(u: Urgency, ops: number): number {
+    let requests = 1;
+    let puts = ops;
+    for (let k = 0; k <= u; k++)
+      for (const w of this.queues[k]!) {
+        requests++;
+        puts += w.ops;
+      }
+    const slow = Math.max(
+      (requests - this.requests) / (this.l.rps * this.share),
+      puts > 0 ? (puts - Math.max(0, this.ops)) / (this.l.writeRps * this.share) : 0,
+    );
+    return slow * 1000;
+  }
+
   private ahead(u: Urgency): number {
     let n = 0;
     for (let k = 0; k <= u; k++) n += this.queues[k]!.length;
--- a/test/grown.test.ts
+++ b/test/grown.test.ts
@@ -201,6 +201,21 @@
     .pop()!
     .cb({ ok: false, kind: 'refused' });
   expect(answers.at(-1)).toBe('d false 1');
+  // After a failure nobody waits: the next question is answered at once, and a probe goes out for it.
+  ask('e');
+  expect(answers.at(-1)).toBe('e false 1');
+  run(200);
+  reads
+    .filter((r) => r.wait === 0)
+    .pop()!
+    .cb({ ok: true, value: { rev: 9, events: [] } });
+  ask('f');
+  run(200);
+  reads
+    .filter((r) => r.wait === 0)
+    .pop()!
+    .cb({ ok: true, value: { rev: 10, events: [] } });
+  expect(answers.at(-1)).toBe('f true 1');
 });
 
 test('work does not wait for machines that are overdue', () => {
