--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -482,6 +482,7 @@
     m.directBusy = true;
     m.probeAt = this.o.clock.now();
     const season = m.season;
+    const known = m.tally;
     const starts = cmds.filter((c) => c.op === 'start').map((c) => taskKey(c.job, c.idx, c.attempt));
     this.o.worker.commands(m.addr, this.l.token, season, cmds, (res) => {
       m.directBusy = false;
@@ -508,7 +509,11 @@
         m.probeFails = 0;
         m.deaf = 0;
         m.heardAt = this.o.clock.now();
-        if (r.machine === m.name && isNewer(m, r)) this.take(m, r, false);
+        // An answer is newer than all that was heard before its question, or its worker began anew and knows nothing of
+        // what was placed there: its reports would pass for late copies until its count has caught up.
+        if (r.machine === m.name && (r.season < season || (r.season === season && r.tally <= known)))
+          this.remove(m, 'its worker began anew');
+        else if (r.machine === m.name && isNewer(m, r)) this.take(m, r, false);
       }
       this.l.dirty = true;
       this.direct(m);
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -141,3 +141,29 @@
   }
   expect(t.removed).toEqual(['m']);
 });
+
+test('a machine that is back at once with a worker that knows nothing is deleted, not believed', () => {
+  const t = keeper(5, { idle_s: 1e6 });
+  for (let i = 0; i < 10; i++) t.report([]);
+  t.tell('run');
+  t.report([listed('running')]);
+  t.calls.splice(0)[0]!.cb({ ok: false, kind: 'refused' });
+  for (let i = 1; i < 20; i++) {
+    t.report([], 0, { tally: Math.min(i, 8) });
+    t.later(1000);
+    t.k.flush();
+    const r = {
+      addr: 'm',
+      type: 'small',
+      zone: 'a',
+      spot: false,
+      season: 1,
+      token: 5,
+      noticeS: null,
+      tasks: [],
+    };
+    for (const c of t.calls.splice(0)) c.cb({ ok: true, value: { machine: 'm', tally: 3, ...r } });
+  }
+  expect(t.removed).toEqual(['m']);
+  expect(t.settled()).toBe(false);
+});
--- a/test/standin/day.ts
+++ b/test/standin/day.ts
@@ -1,4 +1,5 @@
 import type { JobSpec } from '../../src/core/types.js';
+import { SHAPE, type Shape } from './shape.js';
 import type { Mode } from './sim.js';
 import { World } from './world.js';
 
@@ -41,7 +42,7 @@
     cpus: s.pick([1, 1, 2, 4]),
     mem: s.pick([1, 2, 4]),
     image: s.pick(['i1', 'i2', 'i3']),
-    types: s.chance(0.15) ? ['big'] : null,
+    types: s.chance(0.15) ? (w.shape.types.some((t) => t.name === 'big') ? ['big'] : ['small']) : null,
     zone: s.chance(0.15) ? 'a' : null,
     together: s.chance(0.15),
     apart: shape === 'service' && s.chance(0.5),
@@ -162,8 +163,8 @@
 }
 
 /** One seeded day: jobs, cancellations and troubles, then a quiet end in which all accepted work must finish. */
-export function playDay(seed: number, troubles: number): World {
-  const w = new World(seed);
+export function playDay(seed: number, troubles: number, shape: Shape = SHAPE): World {
+  const w = new World(seed, shape);
   const s = w.sim;
   const busy = 120000;
   for (let i = 0; i < 14; i++) {
--- a/test/standin/shape.ts
+++ b/test/standin/shape.ts
@@ -1,4 +1,5 @@
 import type { MachineType, Objective, Team } from '../../src/core/types.js';
+import type { Sim } from './sim.js';
 
 /** What a deployment is: the settings that its controllers get, and the machines that its cloud has. */
 export interface Shape {
@@ -15,6 +16,8 @@
   objectives: Objective[];
   /** Machines that the cloud has. */
   capacity: number;
+  /** Zones that have none of them. */
+  empty: string[];
 }
 
 const type = (over: Partial<MachineType>): MachineType => ({
@@ -57,8 +60,47 @@
     { kind: 'finished', cls: 'c', withinS: 20 },
   ],
   capacity: 12,
+  empty: [],
 };
 
+/** A deployment drawn by the seed: controllers, zones, one of them perhaps without capacity, teams, types and times. */
+export function drawShape(sim: Sim): Shape {
+  const all = ['a', 'b', 'c', 'd'].slice(0, 1 + Math.floor(sim.random() * 4));
+  const empty = all.length > 1 && sim.chance(0.4) ? [all.at(-1) as string] : [];
+  const reportS = sim.pick([1, 2, 4]);
+  const leaseS = reportS * sim.pick([6, 10]);
+  const teams = Array.from({ length: 1 + Math.floor(sim.random() * 8) }, (_, i) =>
+    team(`t${i}`, sim.pick([0, 8, 12]), sim.pick([0, 16, 24, 40])),
+  );
+  const types = [type({ zones: all })];
+  for (let i = 0; i < Math.floor(sim.random() * 5); i++)
+    types.push(
+      type({
+        name: `big${i}`,
+        cpus: sim.pick([8, 16, 32]),
+        mem: sim.pick([16, 64]),
+        price: sim.between(0.4, 1.8),
+        spotPrice: sim.between(0.1, 0.7),
+        bootS: sim.between(3, 15),
+        zones: [sim.pick(all)],
+      }),
+    );
+  return {
+    ...SHAPE,
+    hosts: Array.from({ length: 1 + Math.floor(sim.random() * 7) }, (_, i) => `c${i}`),
+    reportS,
+    leaseS,
+    cancelS: leaseS * 2,
+    ops: sim.pick([8, 16, 32]),
+    valueKb: sim.pick([4, 8, 16]),
+    writeRps: sim.pick([50, 150]),
+    types,
+    teams,
+    capacity: sim.pick([8, 12, 30]),
+    empty,
+  };
+}
+
 /** One team, a thousand machines and more. */
 export const FLEET: Shape = {
   ...SHAPE,
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -223,7 +223,7 @@
           const old = this.claims.get(claim);
           if (old) return { ok: true, value: old };
           const names: string[] = [];
-          while (names.length < n && this.booted.size < this.capacity)
+          while (names.length < n && this.booted.size < this.capacity && !this.shape.empty.includes(zone))
             names.push(this.rent(type, zone, spot));
           if (names.length === 0) return { ok: false, kind: 'gone' };
           this.claims.set(claim, names);
