--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -738,6 +738,8 @@
 
   /** A zone that falls silent as a whole while others are heard is cut off, and may well go on working inside. */
   private judgeZones(zones: Map<string, { quiet: number; all: number }>): void {
+    // What no list has told of yet has no zone.
+    zones.delete('');
     const cut = [...zones].filter(([, z]) => z.all >= 3 && z.quiet > z.all * CUT_SHARE).map(([name]) => name);
     const now = cut.length < zones.size ? cut : [];
     for (const z of now)
