--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest';
-import { keeper, listed } from './standin/keeper.js';
+import { keeper, listed, makeWant } from './standin/keeper.js';
 import { World } from './standin/world.js';
 
 type Keeper = ReturnType<typeof keeper>;
@@ -167,3 +167,43 @@
   expect(t.removed).toEqual(['m']);
   expect(t.settled()).toBe(false);
 });
+
+test('a pass looks at each machine once for wants of one kind, and a report at its own machine only', () => {
+  const t = keeper(5, { idle_s: 1e6 });
+  const all = names(1900);
+  for (const m of all) {
+    t.hold({ ...t.held('run'), job: `wk-${m}`, machine: m });
+    t.report([{ ...listed('running'), job: `wk-${m}` }], 5, { machine: m, addr: m });
+  }
+  t.later(1000);
+  t.k.flush();
+  const inside = t.k as unknown as {
+    placing: { offer: (...a: unknown[]) => unknown };
+    l: { touched: Set<unknown>; roomOf: (...a: unknown[]) => unknown };
+  };
+  let offers = 0;
+  const offer = inside.placing.offer.bind(inside.placing);
+  inside.placing.offer = (...a) => {
+    offers++;
+    return offer(...a);
+  };
+  // Three hundred replicas that no machine here may run: each used to look at all 1,900 machines.
+  const replica = { service: true, rank: 0 as const, spot: false, cpus: 4, types: ['big'] };
+  t.wants(Array.from({ length: 300 }, (_, i) => makeWant(`wk-s${i}`, replica)));
+  t.later(1000);
+  t.k.flush();
+  expect(offers).toBeGreaterThan(0);
+  expect(offers).toBeLessThanOrEqual(2 * all.length);
+  // A second before the next pass: nothing but the machine that reported is looked at again.
+  inside.l.touched.clear();
+  let rooms = 0;
+  const roomOf = inside.l.roomOf.bind(inside.l);
+  inside.l.roomOf = (...a) => {
+    rooms++;
+    return roomOf(...a);
+  };
+  const m = all[7] as string;
+  t.report([{ ...listed('exited'), job: `wk-${m}` }], 5, { machine: m, addr: m });
+  expect([inside.l.touched.size, rooms]).toEqual([1, 0]);
+  expect(t.calls.splice(0).length).toBe(0);
+});
