--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -78,6 +78,8 @@
 
 /** Most facts about images in one message. */
 const IMAGES_PART = 2000;
+/** Lag behind a sibling's last answer from the state service from which users that can't be served are sent on. */
+const BEHIND_MS = 700;
 /** So long nobody in touch is heard before a controller takes itself for alone; so long a leader must have led before. */
 const ALONE_MS = 2500;
 const LED_MS = 15000;
@@ -283,9 +285,18 @@
     const now = this.o.clock.now();
     if (!this.sys.ready || !this.open.ready) return false;
     // In an outage for all nobody was answered much later than another: that must not take every controller out.
-    for (const h of this.heard.values())
-      if (now - h.at < 3000 && h.okAt > this.stateOkAt + this.o.ttlMs * ALONE) return false;
-    return true;
+    return !this.behind(now, this.o.ttlMs * ALONE);
+  }
+
+  /** A sibling has lately been answered by the state service, by so much later than this controller. */
+  private behind(now: number, ms: number): boolean {
+    for (const h of this.heard.values()) if (now - h.at < 3000 && h.okAt > this.stateOkAt + ms) return true;
+    return false;
+  }
+
+  /** Whether a user who can't be served here had better ask another: sooner known than that this one is not ready. */
+  elsewhere(): boolean {
+    return !this.ready() || this.behind(this.o.clock.now(), BEHIND_MS);
   }
 
   private learnTypes(now: number): void {
--- a/src/io/http.ts
+++ b/src/io/http.ts
@@ -33,7 +33,7 @@
     case 'never':
       return c.json({ error: a.reason }, 422);
     case 'later':
-      return later(c, a.reason, !ctl.ready());
+      return later(c, a.reason, ctl.elsewhere());
   }
 }
 
