--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,4 +1,5 @@
 import { Door } from './door.js';
+import { type Cover, coversMachine, Marks, readGapMs, windowMs } from './horizon.js';
 import { type ImageFact, ImageFacts } from './images.js';
 import { Keeper } from './keeper.js';
 import { Mirror } from './mirror.js';
@@ -22,7 +23,18 @@
 
 /** What controllers say to one another. */
 export type MeshBody =
-  | { k: 'ping'; leader: string; token: number; okAgeMs: number; strays: string[] }
+  | {
+      k: 'ping';
+      leader: string;
+      token: number;
+      okAgeMs: number;
+      strays: string[];
+      /** A time on the sender's clock. */
+      mark: number;
+      /** The leader's `Cover`, as of the newest mark of that instance that it reaches. */
+      cover: { inst: string; mark: number; pending: string[] | null } | null;
+    }
+  | { k: 'cancelled'; job: string }
   | { k: 'images'; add: ImageFact[]; gone: string[] }
   | { k: 'owner'; to: string; m: OwnerMsg }
   | { k: 'keeper'; to: string; m: KeeperMsg };
@@ -80,9 +92,8 @@
 const IMAGES_PART = 2000;
 /** Lag behind a sibling's last answer from the state service from which users that can't be served are sent on. */
 const BEHIND_MS = 700;
-/** So long nobody in touch is heard before a controller takes itself for alone; so long a leader must have led before. */
+/** So long nobody in touch is heard before a controller takes itself for alone. */
 const ALONE_MS = 2500;
-const LED_MS = 15000;
 /** Most machines named in one message as having asked here and not the leader. */
 const MOST_STRAYS = 1000;
 /** Part of a lease by which a sibling's last answer from the state service must be later than this one's own. */
@@ -122,7 +133,8 @@
   private givingUp = false;
   private stateOkAt: number;
   private leader: LeaderRecord = { inst: '', host: '', token: 0 };
-  private heard = new Map<string, { inst: string; at: number; seq: number; okAt: number }>();
+  private heard = new Map<string, { inst: string; at: number; seq: number; okAt: number; marks: Marks }>();
+  private inherited: Cover | null = null;
   private types: MachineType[] = [];
   private typesAt = Number.NEGATIVE_INFINITY;
   private typesBusy = false;
@@ -143,6 +155,10 @@
       noticeGraceS: 1,
       objectives: o.objectives,
       openItems: () => this.open.items,
+      openReadAsOf: () => this.open.readAsOf,
+      readOpen: () => {
+        if (o.clock.now() - this.open.readAsOf >= readGapMs(o.workers)) this.open.probe();
+      },
       state: this.state,
       clock: o.clock,
       log: o.log,
@@ -172,6 +188,7 @@
       () => this.types,
       o.log,
       () => o.clock.wall(),
+      (id) => this.cancelledHere(id),
     );
   }
 
@@ -265,6 +282,7 @@
     this.part(now);
     this.learnTypes(now);
     this.keeper?.tick();
+    const cover = this.keepCover(now);
     const news = this.images.news();
     if (this.keeper && news.add.length + news.gone.length > 0)
       for (const p of this.o.peers) this.meshSend(p, { k: 'images', ...news });
@@ -277,9 +295,42 @@
         token: this.leader.token,
         okAgeMs: Math.max(0, now - this.stateOkAt),
         strays: p === this.leader.host ? strays : [],
+        mark: now,
+        cover: this.coverFor(p, cover),
       });
   }
 
+  /** The leader marks a moment for its owners, and takes down what is covered for whoever leads next. */
+  private keepCover(now: number): { at: number; pending: string[] } | null {
+    const k = this.keeper;
+    if (!k) return null;
+    for (const inst of new Set([...this.teamRecords().values()].map((r) => r.inst)))
+      this.toOwner(inst, { k: 'mark', token: k.token, at: now });
+    const c = k.cover();
+    if (c) this.inherit({ at: c.at, pending: c.pending.length > MOST_STRAYS ? null : new Set(c.pending) });
+    return c;
+  }
+
+  private coverFor(
+    host: string,
+    c: { at: number; pending: string[] } | null,
+  ): { inst: string; mark: number; pending: string[] | null } | null {
+    const h = this.heard.get(host);
+    const mark = c && h ? h.marks.by(c.at) : null;
+    if (!c || !h || mark === null) return null;
+    return { inst: h.inst, mark, pending: c.pending.length > MOST_STRAYS ? null : c.pending };
+  }
+
+  private inherit(c: Cover): void {
+    if (!this.inherited || c.at >= this.inherited.at) this.inherited = c;
+  }
+
+  /** A cancellation that was stored here: whoever leads may stop its tasks at once, before their owner reads of it. */
+  private cancelledHere(job: string): void {
+    if (this.keeper) this.keeper.cancelled(job);
+    else if (this.leader.host !== '') this.meshSend(this.leader.host, { k: 'cancelled', job });
+  }
+
   /** Ready unless this controller alone is without the state service. */
   ready(): boolean {
     const now = this.o.clock.now();
@@ -353,7 +404,7 @@
     this.state.get(key, 0, (g) => {
       if (!g.ok) return retry();
       const rec = g.value?.value as NodeRecord | undefined;
-      const next = () => this.takeLease(key, retry);
+      const next = () => this.takeLease(key, g.value?.version ?? 0, retry);
       if (rec && rec.inst !== this.o.inst && !this.predecessorDone) {
         this.predecessorDone = true;
         this.state.end(rec.lease, next);
@@ -361,13 +412,14 @@
     });
   }
 
-  private takeLease(key: string, retry: () => void): void {
+  /** Conditioned on the record that was read: carried out late it would bring back an older lease, and go with it. */
+  private takeLease(key: string, version: number, retry: () => void): void {
     const sent = this.o.clock.now();
     this.state.grant(this.o.ttlMs, (l) => {
       if (!l.ok) return retry();
       const lease = l.value;
       this.state.txn(
-        { when: [], then: [{ put: key, value: { inst: this.o.inst, lease }, lease }] },
+        { when: [{ key, version }], then: [{ put: key, value: { inst: this.o.inst, lease }, lease }] },
         0,
         (r) => {
           this.leaseBusy = false;
@@ -444,6 +496,7 @@
       deposed: (token) => {
         if (this.keeper?.token === rec.token) this.stepDown(`token ${token} seen`);
       },
+      inherited: () => this.inherited,
       siblings: () => [...this.heard.values()].filter((h) => this.o.clock.now() - h.at < 3000).length,
       resign: (reason) => this.resign(rec.token, reason),
       raise: (reason) => this.raise(rec.token, reason),
@@ -504,7 +557,6 @@
 
   private setLeader(rec: LeaderRecord): void {
     if (rec.token < this.leader.token) return;
-    if (rec.token > this.leader.token) this.leaderAt = this.o.clock.now();
     this.leader = rec;
     this.owner.setKeeper(rec.token);
   }
@@ -639,7 +691,8 @@
     if (this.superseded.has(m.inst)) return;
     if (h && h.inst !== m.inst) this.superseded.add(h.inst);
     const okAt = m.body.k === 'ping' ? now - m.body.okAgeMs : (h?.okAt ?? Number.NEGATIVE_INFINITY);
-    this.heard.set(m.host, { inst: m.inst, at: now, seq: m.seq, okAt });
+    const marks = h?.inst === m.inst ? h.marks : new Marks();
+    this.heard.set(m.host, { inst: m.inst, at: now, seq: m.seq, okAt, marks });
     switch (m.body.k) {
       case 'ping':
         if (
@@ -649,12 +702,21 @@
           m.body.token > this.keeper.token
         )
           this.stepDown('a sibling knows a later leader');
+        marks.add(m.body.mark, now);
+        // A mark of an earlier process is a time on another clock.
+        if (m.body.cover?.inst === this.o.inst) {
+          const pending = m.body.cover.pending;
+          this.inherit({ at: Math.min(now, m.body.cover.mark), pending: pending && new Set(pending) });
+        }
         this.keeper?.strayed(m.body.strays);
         if (m.body.token > this.hint.token) this.hint = { host: m.body.leader, token: m.body.token };
         return;
       case 'images':
         if (!this.keeper) this.images.take(m.body.add, m.body.gone);
         return;
+      case 'cancelled':
+        this.keeper?.cancelled(m.body.job);
+        return;
       case 'owner':
         if (m.body.to === this.o.inst) this.keeper?.fromOwner(m.body.m);
         return;
@@ -669,7 +731,6 @@
   private hint = { host: '', token: 0 };
   /** Machines that asked here, and not the leader, since it was last told. */
   private readonly strays = new Set<string>();
-  private leaderAt = 0;
 
   /** Our own connection to a sibling was made anew: what was under way may be lost. */
   private link(host: string, up: boolean): void {
@@ -693,25 +754,17 @@
       const known = this.hint.token > this.leader.token ? this.hint.host : this.leader.host;
       return { s: 'other', keeper: known !== '' && known !== this.o.host ? known : null };
     }
-    if (now - this.stateOkAt > this.answerMs) return { s: 'later' };
     const cmds = k.report(r);
     if (cmds === null) return this.report(r);
+    if (cmds === 'later') return { s: 'later' };
     return { s: 'ok', token: k.token, cmds };
   }
 
-  /**
-   * In an outage reports are answered for a bounded time, so that what is cancelled meanwhile by others has lost its
-   * worker's lease within `cancel_s`.
-   */
-  private get answerMs(): number {
-    return (this.o.workers.cancelS - this.o.workers.leaseS) * 1000 * 0.75;
-  }
-
   /**
    * Alone with its workers, without the state service and the leader: their leases are kept for the last leader known,
-   * with its token and without commands, for the same bounded time, or a zone that is cut off would lose all it runs.
-   * The time counts from when that leader was last heard, and only if it had led for a while: what was cancelled
-   * before has been stopped by it.
+   * with its token and without commands, or a zone that is cut off would lose all it runs. Only by what that leader told
+   * of cancellations, and not where it still had something to stop: the worker may have been cut off from it, and not
+   * from here, long before the leader was.
    */
   private standsIn(r: WorkerReport, now: number): boolean {
     const h = this.heard.get(this.leader.host);
@@ -719,8 +772,7 @@
     if (this.hint.token > this.leader.token || now - this.stateOkAt < ALONE_MS || now - h.at < ALONE_MS)
       return false;
     for (const x of this.heard.values()) if (now - x.at < ALONE_MS && now - x.okAt < ALONE_MS) return false;
-    const since = Math.min(this.stateOkAt, h.at);
-    return since - this.leaderAt > LED_MS && now - since <= this.answerMs;
+    return coversMachine(this.inherited, r.machine, now, windowMs(this.o.workers));
   }
 
   /** For logs and tests. */
--- a/src/core/door.ts
+++ b/src/core/door.ts
@@ -29,6 +29,8 @@
     private readonly types: () => MachineType[],
     private readonly log: Logger,
     private readonly now: () => number,
+    /** A cancellation has been stored. */
+    private readonly cancelled: (id: string) => void,
   ) {}
 
   /** Null: some allowed type holds a task. */
@@ -123,6 +125,7 @@
             if (r.ok) {
               this.log.debug({ job: id }, 'cancelled by its user');
               this.keep(id, { d: 0, n: a.done });
+              this.cancelled(id);
               return cb({ s: 'job', created: false, state: 'cancelled', done: a.done, running: 0 });
             }
             if ((r.kind === 'conflict' || r.kind === 'unknown') && left > 0) return attempt(left - 1);
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,6 +1,6 @@
 import { AIM_MARGIN, Capacity, cheapest, type PriceInput, planRentals, type Rental } from './autoscale.js';
 import type { KeeperOptions, Ledger } from './ledger.js';
-import { type Entry, type Machine, takesRoom } from './machine.js';
+import { type Entry, type Machine, provenAt, takesRoom } from './machine.js';
 import { allowed, emptyRoom, fill, fits, type Room, slots } from './room.js';
 import type { Want } from './types.js';
 
@@ -159,7 +159,7 @@
       .filter((x) => x.count > 0);
     this.l.spare = spare;
     for (const name of this.rescue.keys())
-      if (!this.l.machines.has(name) || now - this.l.machines.get(name)!.heardAt < 3000)
+      if (!this.l.machines.has(name) || now - provenAt(this.l.machines.get(name)!) < 3000)
         this.rescue.delete(name);
     const rescued = [...this.rescue.values()].flat().map((want) => ({ want, count: 1 }));
     const short = this.afterWaiting(open, now);
@@ -413,8 +413,8 @@
     // In a zone that is cut off replicas may be kept alive from inside, and could go nowhere else: until they are dead
     // in any case, deleting their machine only ends them (seen on rekrut-szkoly-fleet, zone).
     if (!m.spot && m.sum.services > 0 && this.l.cutZones.has(m.zone))
-      return now - Math.max(m.heardAt, this.l.startedAt) <= this.o.workers.cancelS * 1000;
-    if (m.spot || now - Math.max(m.heardAt, this.l.startedAt) > this.o.workers.leaseS * 1000) return false;
+      return now - Math.max(provenAt(m), this.l.startedAt) <= this.o.workers.cancelS * 1000;
+    if (m.spot || now - Math.max(provenAt(m), this.l.startedAt) > this.o.workers.leaseS * 1000) return false;
     const wants = [...m.entries.values()]
       .filter((e) => e.service && takesRoom(e))
       .map((e) => this.wantOf(e, m));
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -1,6 +1,6 @@
 import { Fleet } from './fleet.js';
 import { type KeeperOptions, Ledger } from './ledger.js';
-import { type Entry, isNewer, type Machine, newEntry } from './machine.js';
+import { type Entry, isNewer, type Machine, newEntry, provenAt } from './machine.js';
 import { Placing } from './placing.js';
 import type { Policy } from './policy.js';
 import type {
@@ -18,8 +18,10 @@
 /** Ended tasks of a machine that are removed together, and how long one waits for others. */
 const REAPS_TOGETHER = 4;
 const REAP_MS = 20000;
-/** Tasks on a machine above which ended ones are removed in any case: its reports have a limit. */
-const MOST_KEPT = 100;
+/** Tasks that a machine lists from which a higher token is taken, to remove those that ended: a report holds some 600. */
+const MOST_KEPT = 300;
+/** So long after its lease a machine that answers but does not report is kept: it may lag in ending its tasks. */
+const MUTE_MS = 5000;
 /** Part of a zone's machines that are silent when the zone is taken for cut off. */
 const CUT_SHARE = 0.6;
 
@@ -100,6 +102,7 @@
         this.parts.delete(m.inst);
         // The connection was made anew in between: a part is missing, and all is asked for again.
         if (m.part > 0 && old?.sync !== m.sync) return;
+        this.l.horizons.synced(m.inst, m.sync);
         this.sync(m.inst, m.gens, all);
         this.placing.setWants(m.inst, m.wants);
         break;
@@ -108,16 +111,40 @@
         this.placing.setWants(m.inst, m.wants);
         break;
       case 'held':
+        this.l.horizons.held(m.inst);
         for (const h of m.held) if (this.l.heeds(m.inst, h.team)) this.hold(h);
         break;
       case 'drop':
         this.drop(m.inst, m.tasks, m.grants);
         break;
+      case 'covered':
+        this.advance(m.inst, m.sync, m.n, m.gens, m.mark);
+        return;
     }
     this.l.dirty = true;
     this.o.wake();
   }
 
+  /** A message with a stop may be lost with its connection: then the horizon stays, and all is told again. */
+  private advance(inst: string, sync: number, n: number, gens: Record<string, number>, mark: number): void {
+    if (mark > this.o.clock.now()) return;
+    if (!this.l.horizons.complete(inst, sync, n)) return this.unsync(inst);
+    for (const [team, gen] of Object.entries(gens)) {
+      const r = this.l.owners.get(team);
+      if (r?.inst === inst && r.gen === gen && r.synced) this.l.horizons.advance(team, mark);
+    }
+  }
+
+  /** A sibling has stored a cancellation. Also without the state service: its stops ride with answers at once. */
+  cancelled(job: string): void {
+    for (const m of this.l.cancel(job)) this.toDirect.add(m);
+    this.o.wake();
+  }
+
+  cover(): { at: number; pending: string[] } | null {
+    return this.l.cover();
+  }
+
   private sync(inst: string, gens: Record<string, number>, held: Held[]): void {
     const teams = new Set<string>();
     for (const [team, gen] of Object.entries(gens)) {
@@ -138,6 +165,7 @@
       if (e) e.told = '';
     }
     this.o.send(inst, { k: 'synced', token: this.l.token });
+    this.o.send(inst, { k: 'mark', token: this.l.token, at: this.o.clock.now() });
     for (const m of this.l.machines.values())
       for (const e of m.entries.values()) if (teams.has(e.team)) this.tell(m, e);
   }
@@ -168,6 +196,7 @@
       e.graceS = h.graceS;
       e.season = h.season > 0 ? h.season : e.season;
     }
+    if (e.want === 'stop' || (e.want === 'run' && this.l.isCancelled(e.job))) this.l.noteStop(m, e);
     if (e.want === 'reap' && m.up && !m.tasks.has(key) && !e.direct && e.sentWith < 0) {
       this.l.removeEntry(m, e);
       return null;
@@ -219,8 +248,8 @@
       });
   }
 
-  /** A report. Null: answer that this controller is not entitled. */
-  report(r: WorkerReport): WorkerCommand[] | null {
+  /** A report. Null: answer that this controller is not entitled; `later`: nothing that would renew its lease. */
+  report(r: WorkerReport): WorkerCommand[] | 'later' | null {
     if (r.token > this.l.token) {
       this.o.deposed(r.token);
       return null;
@@ -232,7 +261,7 @@
     // A late copy proves no life. Of an old report only this stays true for ever: the season it names had begun, and
     // a task it lists as ended had ended; neither is taken from it where something newer was heard.
     if (late) return [];
-    this.judgeHearing(m, r, now);
+    if (m.answered) this.judgeHearing(m, r, now);
     m.heardAt = now;
     if (m.deaf === 0) m.probeFails = 0;
     m.reportAt = now;
@@ -244,9 +273,9 @@
       // Overtaken by the answer to a direct command: its list is old, but it is still waiting for an answer.
       for (const e of m.entries.values()) if (e.sentWith >= 0 && r.tally > e.sentWith) e.sentWith = -1;
     }
-    const cmds = this.commands(m, r.tally);
     this.o.wake();
-    return cmds;
+    m.answered = this.l.mayRenew(m, now);
+    return m.answered ? this.commands(m, r.tally) : 'later';
   }
 
   /**
@@ -257,7 +286,7 @@
     if (m.reportTally < 0) return;
     let missed = false;
     let heard = false;
-    if (r.season > m.season) missed = now - m.heardAt < this.o.workers.leaseS * 500;
+    if (r.season > m.season) missed = now - m.reportAt < this.o.workers.leaseS * 500;
     else if (r.token < this.l.token) missed = true;
     else
       for (const e of m.entries.values()) {
@@ -288,6 +317,7 @@
     if (r.token === this.l.token) m.confirmed = true;
     m.heardAt = now;
     m.up = true;
+    if (!known) m.upAt = now;
     m.leaveAt = r.noticeS === null ? null : now + r.noticeS * 1000;
     for (const [key, token] of m.doubt) if (r.token > token) m.doubt.delete(key);
     if (!known) {
@@ -409,7 +439,9 @@
   }
 
   private canStart(m: Machine, e: Entry): boolean {
-    return this.o.entitled() && this.l.isSynced(e.team) && m.up && !m.removing && e.season === m.season;
+    if (!m.up || m.removing || e.season !== m.season || !this.o.entitled()) return false;
+    // What its owner told before a long silence may have been cancelled since.
+    return this.l.isSynced(e.team) && this.l.covered(e.team, this.o.clock.now());
   }
 
   /** What this machine should do now. With `tally`: carried by the answer to that report. */
@@ -464,18 +496,25 @@
   /**
    * As long as a worker lists an ended attempt, repeating its start has no effect. A direct command that was carried
    * out may be repeated late, as long as its token is the highest: one that was stopped would run again, perhaps beside
-   * its successor. What is done ends at once when it is started again. A few dozen are kept at most.
+   * its successor. What is done ends at once when it is started again.
    */
   private mayReap(m: Machine, t: TaskReport, key: string): boolean {
     if (m.doubt.has(key)) return false;
-    return t.why === 'done' || !m.direct.has(key) || m.tasks.size > MOST_KEPT;
+    if (t.why === 'done' || !m.direct.has(key)) return true;
+    // Its reports have a limit: under a higher token no repeat counts, and all may go.
+    if (m.tasks.size > MOST_KEPT) this.o.raise(`${m.name} keeps ${m.tasks.size} ended tasks`);
+    return false;
   }
 
   /** Sends what there is straight to the worker, one call at a time. */
   private direct(m: Machine, probe = false): void {
-    if (m.directBusy || m.addr === '' || m.removing || !this.o.entitled()) return;
+    if (m.directBusy || m.addr === '' || m.removing) return;
     if (!probe && m.probeFails > 0) return;
+    const entitled = this.o.entitled();
+    if (probe && !entitled) return;
     let cmds = m.up ? this.commands(m, null) : [];
+    // A stop is right whoever leads now: what was started under a later token drops it.
+    if (!entitled) cmds = cmds.filter((c) => c.op === 'stop');
     // Ended tasks take no room: their removal rides with the next answer or command.
     if (!probe && cmds.every((c) => c.op === 'reap')) cmds = [];
     if (cmds.length === 0 && !probe) return;
@@ -675,6 +714,7 @@
     let heard = 0;
     let counted = 0;
     let strays = 0;
+    let answering = 0;
     for (const m of this.l.machines.values()) {
       if (m.removing || (!m.up && m.entries.size === 0)) continue;
       counted++;
@@ -686,20 +726,26 @@
       zone.all++;
       // Workers need some time to find a new keeper.
       // One that is heard but does not hear counts as silent from when that began.
-      const alive = m.deaf >= 2 ? Math.min(m.heardAt, m.deafSince) : m.heardAt;
+      // Reports alone renew leases: one that only answers is mute, and dies of its lease.
+      const proven = provenAt(m);
+      const alive = m.deaf >= 2 ? Math.min(proven, m.deafSince) : proven;
       const quiet = now - Math.max(alive, this.l.startedAt + report);
       if (m.deaf === 1 && m.addr !== '' && now - m.probeAt > 2000) this.direct(m, true);
       if (quiet < probeAfter) {
         heard++;
         continue;
       }
-      zone.quiet++;
+      const mute = m.heardAt > proven && now - m.heardAt < probeAfter;
+      if (mute) answering++;
+      else zone.quiet++;
       if (m.addr !== '' && now - m.probeAt > 2000 && !m.directBusy) this.direct(m, true);
-      if (m.strayAt > m.heardAt + 2000 && now - m.strayAt < 2 * probeAfter) {
+      if (m.strayAt > proven + 2000 && now - m.strayAt < 2 * probeAfter) {
         strays++;
         if (quiet < lease) continue;
       }
-      if (quiet > silentMs && (m.probeFails > 0 || m.addr === '')) silent.push(m);
+      // A mute machine is left its tasks as long as they may live: the trouble may end before its lease does.
+      if (quiet > (mute ? lease + MUTE_MS : silentMs) && (mute || m.probeFails > 0 || m.addr === ''))
+        silent.push(m);
     }
     this.judgeZones(zones);
     // They reach siblings and not this controller: it was cut off from its workers, and waiting for them to fall
@@ -726,14 +772,16 @@
         'many machines silent at once: suspecting this controller',
       );
     }
-    if (heard === 0 && now - this.suspectSince > report) {
+    // What answers is in reach: then it is the workers that reach nobody, and another leader would hear no more.
+    if (heard === 0 && answering * 2 < quiet && now - this.suspectSince > report) {
       this.suspectSince = now;
       this.o.resign('no machine can be heard');
       return;
     }
     // Past their lease their tasks are dead in any case.
     for (const m of silent)
-      if (now - Math.max(m.heardAt, this.l.startedAt) > lease + 5000) this.remove(m, 'silent past its lease');
+      if (now - Math.max(provenAt(m), this.l.startedAt) > lease + MUTE_MS)
+        this.remove(m, 'silent past its lease');
   }
 
   /** A zone that falls silent as a whole while others are heard is cut off, and may well go on working inside. */
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -1,5 +1,6 @@
+import { type Cover, coversMachine, Horizons, windowMs } from './horizon.js';
 import type { ImageFacts } from './images.js';
-import { type Entry, emptySum, type Machine, newMachine, sumUp } from './machine.js';
+import { type Entry, emptySum, type Machine, newMachine, provenAt, sumUp } from './machine.js';
 import type { Policy, PolicyInput } from './policy.js';
 import { emptyRoom, type Room } from './room.js';
 import type {
@@ -41,12 +42,17 @@
   deposed(token: number): void;
   /** Siblings heard from a moment ago. */
   siblings(): number;
+  /** What the leader before this one had told of cancellations. */
+  inherited(): Cover | null;
   /** Nothing but this controller's own network explains what is seen. */
   resign(why: string): void;
   /** Held-back commands stand in the way of a stop: a higher token would end them. */
   raise(why: string): void;
 }
 
+/** Cancellations told by siblings that are remembered: owners know them within moments unless there is an outage. */
+const MOST_CANCELLED = 5000;
+
 export interface OwnerRef {
   inst: string;
   gen: number;
@@ -76,6 +82,12 @@
   /** Machines that are up and have something free, or something about to be free. */
   readonly withRoom = new Set<Machine>();
   readonly withStops = new Set<Machine>();
+  /** Machines on which something may have to be stopped yet. */
+  private readonly stopping = new Set<Machine>();
+  readonly horizons: Horizons;
+  private readonly window: number;
+  /** Jobs that a sibling told to be stored as cancelled: their owner may not know it yet. */
+  private readonly cancelled = new Set<string>();
   /** Entries whose owners were asked to stop them. */
   readonly evictions = new Set<Entry>();
   private readonly used = new Map<string, { cpus: number; gpus: number }>();
@@ -100,6 +112,8 @@
   constructor(readonly o: KeeperOptions) {
     this.token = o.token;
     this.startedAt = o.clock.now();
+    this.horizons = new Horizons([...o.teams.keys()]);
+    this.window = windowMs(o.workers);
     this.policyNow = o.policy(this.policyInput());
   }
 
@@ -200,6 +214,73 @@
     for (let k = 0; k < 4; k++) this.total.ranks[k]! += sign * s.ranks[k]!;
   }
 
+  // ---- cancellations --------------------------------------------------------------------------------
+
+  /** All that was cancelled before some moment young enough has become stops for this team. */
+  covered(team: string, now: number): boolean {
+    return now - this.horizons.of(team) <= this.window;
+  }
+
+  /**
+   * May this machine's lease be renewed? The answer that does it carries the stops for what was cancelled before the
+   * horizon of every team with tasks there; what was cancelled later ends with this lease, in time. Before all owners
+   * have told what they hold nobody knows what is there: then what the last leader told of cancellations must do.
+   */
+  mayRenew(m: Machine, now: number): boolean {
+    const h = this.horizons;
+    if (!h.whole) return coversMachine(this.o.inherited(), m.name, now, this.window);
+    if (m.strangers.size > 0 && this.strange(m)) return now - h.least() <= this.window;
+    let at = Number.POSITIVE_INFINITY;
+    for (const e of m.entries.values())
+      if (e.want !== 'reap' && e.want !== 'hold') at = Math.min(at, h.of(e.team));
+    return now - (at === Number.POSITIVE_INFINITY ? h.greatest() : at) <= this.window;
+  }
+
+  /** An entry is to be stopped. */
+  noteStop(m: Machine, e: Entry): void {
+    e.want = 'stop';
+    this.stopping.add(m);
+  }
+
+  isCancelled(job: string): boolean {
+    return this.cancelled.has(job);
+  }
+
+  /** Stored as cancelled: stopping its tasks is always right, whoever owns them. Returns where some may run. */
+  cancel(job: string): Machine[] {
+    this.cancelled.add(job);
+    if (this.cancelled.size > MOST_CANCELLED)
+      for (const x of this.cancelled) {
+        this.cancelled.delete(x);
+        break;
+      }
+    const out: Machine[] = [];
+    for (const m of this.machines.values())
+      for (const e of m.entries.values()) {
+        if (e.job !== job || e.want !== 'run') continue;
+        e.graceS = 0;
+        this.noteStop(m, e);
+        this.touch(m);
+        out.push(m);
+      }
+    return out;
+  }
+
+  /** For siblings: see `Cover`. Null as long as some owner has not told what it holds. */
+  cover(): { at: number; pending: string[] } | null {
+    if (!this.horizons.whole) return null;
+    const pending: string[] = [];
+    for (const m of this.stopping) {
+      let some = false;
+      if (this.machines.get(m.name) === m)
+        for (const e of m.entries.values())
+          if (e.want === 'stop' && !e.settled && e.listed?.phase !== 'exited') some = true;
+      if (some) pending.push(m.name);
+      else this.stopping.delete(m);
+    }
+    return { at: this.horizons.least(), pending };
+  }
+
   // ---- workers --------------------------------------------------------------------------------------
 
   machine(name: string): Machine {
@@ -218,7 +299,8 @@
   usable(m: Machine, now: number): boolean {
     if (!m.up || m.removing || m.retired || m.leaving || m.leaveAt !== null || m.probeFails > 0) return false;
     if (!m.confirmed || m.deaf > 0) return false;
-    return now - m.heardAt <= this.quietMs() * 1.6 && !this.strange(m);
+    // One that only answers direct commands gets nothing new: all that is placed there dies at the end of its lease.
+    return now - provenAt(m) <= this.quietMs() * 1.6 && !this.strange(m);
   }
 
   quietMs(): number {
@@ -231,7 +313,7 @@
     const r = emptyRoom(t, m.zone, m.spot, m.name);
     r.images = m.images;
     if (m.reserved && m.reserved.until > now) r.reserved = m.reserved;
-    r.penalty = (now - m.heardAt > this.quietMs() ? 10 : 0) + (m.errors.size > 0 ? 20 : 0);
+    r.penalty = (now - provenAt(m) > this.quietMs() ? 10 : 0) + (m.errors.size > 0 ? 20 : 0);
     r.surplus = !m.spot && m.sum.services === 0 && !this.spare.has(m.name) && now > this.shortUntil;
     r.cpus = m.sum.free.cpus;
     r.gpus = m.sum.free.gpus;
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -31,9 +31,12 @@
   /** Tally of the newest report that came as a report, and not as the answer to a direct command. */
   reportTally: number;
   token: number;
-  /** Any sign of life, and reports alone. */
+  /** Any sign of life; reports alone; first seen to be up. */
   heardAt: number;
   reportAt: number;
+  upAt: number;
+  /** The last report was answered, with a renewal of its lease. */
+  answered: boolean;
   /** Last asked a sibling, which sent it here. */
   strayAt: number;
   up: boolean;
@@ -162,7 +165,9 @@
     reportTally: -1,
     token: 0,
     heardAt: now,
-    reportAt: 0,
+    reportAt: Number.NEGATIVE_INFINITY,
+    upAt: Number.NEGATIVE_INFINITY,
+    answered: false,
     strayAt: Number.NEGATIVE_INFINITY,
     up: false,
     confirmed: false,
@@ -208,6 +213,11 @@
   };
 }
 
+/** Since when it may have gone without a renewal of its lease: direct commands renew none. */
+export function provenAt(m: Machine): number {
+  return Math.max(m.reportAt, m.upAt);
+}
+
 /** Newer than all that was seen from this machine? */
 export function isNewer(m: Machine, r: WorkerReport): boolean {
   return r.season > m.season || (r.season === m.season && r.tally > m.tally);
--- a/src/core/mirror.ts
+++ b/src/core/mirror.ts
@@ -12,6 +12,8 @@
 export class Mirror {
   readonly items = new Map<string, { value: unknown; version: number; lease: number | undefined }>();
   ready = false;
+  /** When the last read that was answered had been sent: all that was stored by then is in the copy. */
+  readAsOf = Number.NEGATIVE_INFINITY;
   private rev = 0;
   private listing = false;
   private watching = false;
@@ -98,8 +100,10 @@
       this.reading = false;
       const ok = r.ok && epoch === this.epoch;
       this.failed = !r.ok;
-      if (ok) this.apply(r.value);
-      else if (!r.ok && r.kind === 'gone') this.list();
+      if (ok) {
+        this.apply(r.value);
+        this.readAsOf = now;
+      } else if (!r.ok && r.kind === 'gone') this.list();
       for (const cb of mine) cb(ok);
       this.read();
     });
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -1,4 +1,5 @@
 import { Counter, FanOut } from './graph.js';
+import { Marks } from './horizon.js';
 import {
   chunkSize,
   countRecord,
@@ -92,6 +93,9 @@
   log: Logger;
   /** The mirrored records under `open/`. */
   openItems(): Iterable<[string, { value: unknown; version: number }]>;
+  /** The sending time of the latest read of `open/` whose changes have been passed on here; and a new read, if it is due. */
+  openReadAsOf(): number;
+  readOpen(): void;
   send(msg: OwnerMsg): void;
   wake(): void;
 }
@@ -115,6 +119,11 @@
   /** The newest grant taken in from this keeper. */
   private lastGrant = 0;
   private syncs = 0;
+  /** Messages with placements since the last sync. */
+  private heldSent = 0;
+  /** The leader's marks, and the newest told to be covered. */
+  private readonly marks = new Marks();
+  private coveredTold = Number.NEGATIVE_INFINITY;
   /** Aims on finishing, by class, shortest first. */
   private readonly finish = new Map<string, number[]>();
   private readonly archived = new Set<string>();
@@ -217,6 +226,8 @@
   setKeeper(token: number): void {
     if (token <= this.token) return;
     this.token = token;
+    this.marks.clear();
+    this.coveredTold = Number.NEGATIVE_INFINITY;
     this.lastGrant = 0;
     this.synced = false;
     this.needSync = true;
@@ -284,9 +295,10 @@
     const j: Job = {
       spec,
       order: s.order,
-      aMark: s.aMark,
+      // Read again from before a cancellation that the watch has shown meanwhile: it is never taken back.
+      aMark: Math.max(s.aMark, old?.aMark ?? 0),
       nMark: s.nMark,
-      cancelled: s.cancelled,
+      cancelled: s.cancelled || old?.cancelled === true,
       count: s.count ?? new Counter(spec.tasks),
       fan: new FanOut(spec.tasks, this.window),
       placed: new Map(),
@@ -382,7 +394,8 @@
     }
     if (part !== 'a') return;
     if (j) {
-      if (mark > j.aMark && !j.reloading) {
+      // Also of a job that is being read again: that read may wait out an outage, while what runs must be stopped.
+      if (mark > j.aMark) {
         const found = new Map<string, StoredJob>();
         readJob(found, { key: `open/${id}/a`, value, version: mark });
         const s = found.get(id);
@@ -438,6 +451,10 @@
       case 'seen':
         for (const s of m.seen) this.saw(s);
         break;
+      case 'mark':
+        this.marks.add(m.at, this.o.clock.now());
+        this.o.readOpen();
+        break;
       case 'evict':
         for (const t of m.tasks) this.evict(t.job, t.idx, t.attempt, m.why);
         break;
@@ -704,9 +721,9 @@
           if (r.listed) held.push(this.held(j, r.p.idx, r.p.attempt, r.p.machine, r.p.season, 'keep', 0, 0));
         }
       }
-      const gens: Record<string, number> = {};
-      for (const [name, t] of this.teams) if (t.loaded) gens[name] = t.gen;
+      const gens = this.gens();
       this.synced = false;
+      this.heldSent = 0;
       // In parts, so that no message is large; the keeper takes them as one when it has the last.
       const sync = ++this.syncs;
       const parts = Math.max(1, Math.ceil(held.length / SYNC_PART));
@@ -727,6 +744,14 @@
     if (this.outHeld.length > 0) {
       this.o.send({ k: 'held', ...base, held: this.outHeld });
       this.outHeld = [];
+      this.heldSent++;
+    }
+    // After the stops that follow from what was read.
+    const mark = this.marks.by(this.o.openReadAsOf());
+    if (mark !== null && mark > this.coveredTold) {
+      this.coveredTold = mark;
+      const n = this.heldSent;
+      this.o.send({ k: 'covered', ...base, sync: this.syncs, n, gens: this.gens(), mark });
     }
     if (this.outDrop.tasks.length + this.outDrop.grants.length > 0) {
       this.o.send({ k: 'drop', ...base, ...this.outDrop });
@@ -746,6 +771,12 @@
     }
   }
 
+  private gens(): Record<string, number> {
+    const gens: Record<string, number> = {};
+    for (const [name, t] of this.teams) if (t.loaded) gens[name] = t.gen;
+    return gens;
+  }
+
   /** Grants of an earlier keeper are void; what was not yet sent to the state service goes back. */
   private dropNew(): void {
     for (const j of this.jobs.values()) {
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -1,6 +1,6 @@
 import { AIM_MARGIN } from './autoscale.js';
 import type { KeeperOptions, Ledger, WantRef } from './ledger.js';
-import { type Entry, type Machine, newEntry, takesRoom } from './machine.js';
+import { type Entry, type Machine, newEntry, provenAt, takesRoom } from './machine.js';
 import { allowed, emptyRoom, fill, fits, type Room, shapeKey, take } from './room.js';
 import type { Grant, Want } from './types.js';
 
@@ -255,7 +255,7 @@
   private freeing(now: number): Room[] {
     const out: Room[] = [];
     for (const m of this.l.withStops) {
-      if (m.removing || m.retired || m.leaveAt !== null || now - m.heardAt >= 10000) continue;
+      if (m.removing || m.retired || m.leaveAt !== null || now - provenAt(m) >= 10000) continue;
       const r = this.l.roomOf(m, now);
       if (!r) continue;
       const s = m.sum.stopping;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -189,7 +189,17 @@
     }
   | { k: 'wants'; token: number; inst: string; wants: Want[] }
   | { k: 'held'; token: number; inst: string; held: Held[] }
-  | { k: 'drop'; token: number; inst: string; tasks: { machine: string; key: string }[]; grants: number[] };
+  | { k: 'drop'; token: number; inst: string; tasks: { machine: string; key: string }[]; grants: number[] }
+  /** Whatever was cancelled before the leader's `mark` has been told, in `n` messages of placements since that sync. */
+  | {
+      k: 'covered';
+      token: number;
+      inst: string;
+      sync: number;
+      n: number;
+      gens: Record<string, number>;
+      mark: number;
+    };
 
 /** What became of placements, as the keeper saw it. */
 export type Seen =
@@ -209,6 +219,8 @@
   | { k: 'synced'; token: number }
   | { k: 'resync'; token: number }
   | { k: 'grants'; token: number; grants: Grant[] }
+  /** A time on the leader's clock. */
+  | { k: 'mark'; token: number; at: number }
   | { k: 'seen'; token: number; seen: Seen[] }
   | { k: 'evict'; token: number; tasks: { job: string; idx: number; attempt: number }[]; why: string };
 
--- a/src/io/mesh.ts
+++ b/src/io/mesh.ts
@@ -28,6 +28,15 @@
   return Array.isArray(v) && v.every((x) => typeof x === 'string');
 }
 
+function isCover(v: unknown): boolean {
+  if (v === null) return true;
+  if (typeof v !== 'object') return false;
+  const c = v as { inst?: unknown; mark?: unknown; pending?: unknown };
+  return (
+    typeof c.inst === 'string' && typeof c.mark === 'number' && (c.pending === null || isNames(c.pending))
+  );
+}
+
 /** A message of the shape that controllers send; anything else is dropped. */
 export function isMeshMsg(v: unknown): v is MeshMsg {
   if (typeof v !== 'object' || v === null) return false;
@@ -42,6 +51,9 @@
         leader?: unknown;
         okAgeMs?: unknown;
         strays?: unknown;
+        mark?: unknown;
+        cover?: unknown;
+        job?: unknown;
         add?: unknown;
         gone?: unknown;
       }
@@ -52,8 +64,11 @@
       typeof b.token === 'number' &&
       typeof b.leader === 'string' &&
       typeof b.okAgeMs === 'number' &&
-      isNames(b.strays)
+      isNames(b.strays) &&
+      typeof b.mark === 'number' &&
+      isCover(b.cover)
     );
+  if (b.k === 'cancelled') return typeof b.job === 'string';
   if (b.k === 'images') return isFacts(b.add) && isNames(b.gone);
   return (
     (b.k === 'owner' || b.k === 'keeper') &&
--- /dev/null
+++ b/test/cancellation.test.ts
@@ -0,0 +1,227 @@
+import { expect, test } from 'vitest';
+import { coversMachine, Marks, windowMs } from '../src/core/horizon.js';
+import { Owner } from '../src/core/owner.js';
+import type { OwnerMsg, StatePort } from '../src/core/types.js';
+import { job } from './standin/day.js';
+import { keeper, listed } from './standin/keeper.js';
+import type { WorkerStandin } from './standin/worker.js';
+import { World } from './standin/world.js';
+
+const leads = (w: World, h: string) => w.procs.get(h)?.ctl.status().keeper !== null;
+const leaderOf = (w: World) => w.hosts.find((h) => leads(w, h))!;
+
+/** A world with one long array of each team running on machines that stay. */
+function running(seed: number): { w: World; ids: string[]; on: (id: string) => WorkerStandin[] } {
+  const w = new World(seed);
+  w.runMs = () => 1e9;
+  const ids = ['red', 'blue', 'free'].map((team) => {
+    const j = job(w, { team, tasks: 3, spot: false });
+    w.submit(j);
+    return j.id;
+  });
+  w.sim.run(60000);
+  const on = (id: string) =>
+    [...w.workers.values()].filter((m) => m.tasks.some((t) => t.job === id && m.onMachine(t)));
+  for (const id of ids) expect(on(id).length).toBeGreaterThan(0);
+  return { w, ids, on };
+}
+
+/** Cancels through one controller; the answer counts as the confirmation. */
+function cancelAt(w: World, host: string, id: string): void {
+  const j = w.jobs.get(id)!;
+  j.askedCancel = true;
+  w.procs.get(host)!.ctl.door.abort(id, (a) => {
+    if (a.s === 'job' && a.state === 'cancelled') j.cancelledAt ??= w.sim.now;
+  });
+}
+
+test.each([1, 2, 3, 4])(
+  'the leader alone is refused, others confirm cancellations, then nobody has the state service (%i)',
+  (seed) => {
+    const { w, ids, on } = running(seed);
+    for (let spell = 0; spell < 2; spell++) {
+      const leader = leaderOf(w);
+      const other = w.hosts.find((h) => h !== leader)!;
+      w.state.refused.add(leader);
+      // Neither its siblings' word nor the owner's stops reach the leader: only the bound on renewals is left.
+      for (const h of w.hosts) if (h !== leader) w.net.cut(h, leader, 'hold');
+      w.sim.run(w.sim.now + 200);
+      cancelAt(w, other, ids[spell]!);
+      w.sim.run(w.sim.now + 300);
+      expect(w.jobs.get(ids[spell]!)!.cancelledAt).not.toBeNull();
+      w.state.setDown(true);
+      w.sim.run(w.sim.now + w.shape.cancelS * 1200);
+      expect(on(ids[spell]!)).toEqual([]);
+      for (const h of w.hosts) if (h !== leader) w.net.heal(h, leader);
+      w.state.allow(leader);
+      w.state.setDown(false);
+      w.sim.run(w.sim.now + 12000);
+    }
+    expect(w.broken).toEqual([]);
+  },
+);
+
+test('a cancellation told by a sibling becomes stops at once, without the state service', () => {
+  const { w, ids, on } = running(5);
+  const leader = leaderOf(w);
+  w.state.refused.add(leader);
+  w.sim.run(w.sim.now + 500);
+  cancelAt(w, w.hosts.find((h) => h !== leader)!, ids[0]!);
+  w.sim.run(w.sim.now + 200);
+  w.state.setDown(true);
+  w.sim.run(w.sim.now + 3 * w.shape.reportS * 1000);
+  expect(on(ids[0]!)).toEqual([]);
+  expect(w.broken).toEqual([]);
+});
+
+test('a worker that lost the leader long before its zone did is not kept alive from inside with what was cancelled', () => {
+  const { w, ids, on } = running(7);
+  const leader = leaderOf(w);
+  const inside = w.hosts.find((h) => h !== leader)!;
+  const m = on(ids[0]!)[0]!;
+  w.cloudDown = true;
+  // Its last renewal; from here on it reaches the controller inside alone, which sends it to the leader.
+  for (const h of w.hosts) if (h !== inside) w.net.cut(m.name, h, 'hold');
+  w.sim.run(w.sim.now + 1000);
+  cancelAt(w, leader, ids[0]!);
+  w.sim.run(w.sim.now + 5000);
+  expect([m.alive, m.season]).toEqual([true, 1]);
+  for (const x of [...w.hosts.filter((h) => h !== inside), 'state', 'cloud', 'users'])
+    w.net.cut(inside, x, 'hold');
+  w.sim.run(w.sim.now + w.shape.cancelS * 1500);
+  expect(w.broken).toEqual([]);
+});
+
+test('leaders that follow one another within moments renew no longer than one would', () => {
+  const { w, ids, on } = running(9);
+  const leader = leaderOf(w);
+  const owner = w.hosts.find((h) => h !== leader)!;
+  const team = (w.procs.get(owner)!.ctl.status().teams as string[])[0]!;
+  const id = ids[['red', 'blue', 'free'].indexOf(team)]!;
+  // The owner is out of touch with the leaders: none of them learns what it holds, nor leads long enough to move its team.
+  for (const a of w.hosts) for (const b of w.hosts) if (a < b) w.net.cut(a, b, 'hold');
+  w.sim.run(w.sim.now + 100);
+  cancelAt(w, owner, id);
+  const raise = () => {
+    const ctl = w.procs.get(leader)!.ctl as unknown as {
+      ledToken: number;
+      raiseAt: number;
+      raise(token: number, why: string): void;
+    };
+    ctl.raiseAt = 0;
+    ctl.raise(ctl.ledToken, 'a test');
+    w.sim.after(1500, raise);
+  };
+  raise();
+  w.sim.run(w.sim.now + w.shape.cancelS * 1200);
+  expect(leads(w, leader)).toBe(true);
+  expect(on(id)).toEqual([]);
+  expect(w.broken).toEqual([]);
+});
+
+test('a cancellation of a job that is being read again is heeded at once and not taken back by that read', () => {
+  const sent: OwnerMsg[] = [];
+  const lists: { prefix: string; cb: Parameters<StatePort['list']>[3] }[] = [];
+  let now = 0;
+  const owner = new Owner({
+    inst: 'o',
+    teams: new Map([['red', { name: 'red', cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 }]]),
+    valueKb: 4,
+    txnOps: 16,
+    writeRps: 50,
+    batch: 10,
+    noticeGraceS: 1,
+    objectives: [],
+    state: {
+      list: (prefix: string, _s: string, _u: number, cb: Parameters<StatePort['list']>[3]) =>
+        lists.push({ prefix, cb }),
+      txn: () => {},
+    } as unknown as StatePort,
+    clock: { now: () => now, wall: () => now, after: () => () => {}, soon: () => {}, random: () => 0 },
+    log: { debug: () => {}, info: () => {}, error: () => {} },
+    openItems: () => [],
+    openReadAsOf: () => now,
+    readOpen: () => {},
+    send: (m) => sent.push(m),
+    wake: () => {},
+  });
+  const spec = job(new World(1), { id: 'wk-1' });
+  const read = (prefix: string, items: { key: string; value: unknown; version: number }[]) => {
+    const l = lists.shift()!;
+    expect(l.prefix.startsWith(prefix)).toBe(true);
+    l.cb({ ok: true, value: { items, more: false, rev: 9 } });
+  };
+  const stored = { key: 'open/wk-1/a', value: { j: spec }, version: 3 };
+  const placed = { key: 'place/wk-1/0', value: { t: { 0: [1, 'm', 1, 'a'] } }, version: 4 };
+  owner.setKeeper(5);
+  owner.setTeams(new Map([['red', 1]]));
+  owner.flush();
+  read('open/', [stored]);
+  read('place/', [placed]);
+  owner.flush();
+  owner.fromKeeper({ k: 'synced', token: 5 });
+  owner.openChanged('wk-1', 'n', { n: 1, r: 0, b: '1.1' }, 6);
+  expect(lists.length).toBe(1);
+  owner.openChanged('wk-1', 'a', { j: spec, o: 3, x: 1 }, 7);
+  owner.fromKeeper({ k: 'mark', token: 5, at: 1 });
+  now = 10;
+  owner.flush();
+  const stops = sent.flatMap((m) => (m.k === 'held' ? m.held : [])).map((h) => h.want);
+  expect(stops).toEqual(['stop']);
+  // The cover comes after the stop that it speaks of.
+  const kinds = sent.map((m) => m.k);
+  expect(kinds.indexOf('covered')).toBeGreaterThan(kinds.indexOf('held'));
+  read('open/wk-1/', [stored]);
+  read('place/wk-1/', [placed]);
+  owner.flush();
+  const sync = sent.filter((m) => m.k === 'sync').at(-1)!;
+  expect([sync.held.map((h) => h.want), sync.wants]).toEqual([['stop'], []]);
+});
+
+test('a lease is renewed only as long as the owners of what runs there have lately read of cancellations', () => {
+  const t = keeper(5);
+  const w = windowMs({ leaseS: 20, cancelS: 40 });
+  t.report([]);
+  t.tell('run');
+  t.report([listed('running')]);
+  t.owner.follows = false;
+  t.later(w - 100);
+  expect(t.report([listed('running')])).not.toBeNull();
+  t.later(200);
+  expect(t.report([listed('running')])).toBeNull();
+  // Nothing starts by what was told before.
+  t.hold({ ...t.held('run'), idx: 1, machine: 'n' });
+  t.report([], 5, { machine: 'n', addr: 'n' });
+  expect(t.settled()).toBe(false);
+  expect(t.calls.flatMap((c) => c.cmds).some((c) => c.op === 'start' && c.idx === 1)).toBe(false);
+  // The answer that renews again carries the stop.
+  t.tell('stop');
+  t.owner.follows = true;
+  expect(t.report([listed('running')])?.map((c) => c.op)).toEqual(['stop']);
+});
+
+test('a lost message with a stop holds the horizon back, and all is asked for again', () => {
+  const t = keeper(5);
+  t.report([]);
+  t.tell('run');
+  t.report([listed('running')]);
+  // The owner counts one more message than came.
+  t.owner.told++;
+  t.later(windowMs({ leaseS: 20, cancelS: 40 }) + 100);
+  expect(t.report([listed('running')])).toBeNull();
+  expect(t.said.some((m) => m.k === 'resync')).toBe(true);
+});
+
+test('a mark that came after a read was sent is not covered by it, and a cover ends with its window', () => {
+  const m = new Marks();
+  m.add(100, 1000);
+  m.add(600, 1500);
+  expect([m.by(999), m.by(1000), m.by(1499), m.by(1500)]).toEqual([null, 100, 100, 600]);
+  const c = { at: 1000, pending: new Set(['m']) };
+  expect([coversMachine(c, 'n', 2000, 1000), coversMachine(c, 'n', 2001, 1000)]).toEqual([true, false]);
+  expect([
+    coversMachine(c, 'm', 1000, 1000),
+    coversMachine({ ...c, pending: null }, 'n', 1000, 1000),
+  ]).toEqual([false, false]);
+  expect(coversMachine(null, 'n', 0, 1e9)).toBe(false);
+});
--- a/test/standin/keeper.ts
+++ b/test/standin/keeper.ts
@@ -70,6 +70,7 @@
     send: (_i, m) => said.push(m),
     wake: () => {},
     deposed: () => {},
+    inherited: () => null,
     siblings: () => siblings.n,
     resign: (why) => resigned.push(why),
     raise: (why) => raised.push(why),
@@ -87,8 +88,17 @@
     wants: [],
   });
   let tally = 0;
-  const report = (tasks: TaskReport[], seen = token, over: Partial<WorkerReport> = {}) =>
-    k.report({
+  /** The owner follows the leader's marks, unless a test says that it does not. */
+  const owner = { follows: true, told: 0 };
+  const cover = () => {
+    if (!owner.follows) return;
+    const gens = { red: 1, blue: 1, free: 1 };
+    k.fromOwner({ k: 'covered', token, inst: 'o', sync: 1, n: owner.told, gens, mark: now });
+  };
+  cover();
+  const report = (tasks: TaskReport[], seen = token, over: Partial<WorkerReport> = {}) => {
+    cover();
+    const a = k.report({
       machine: 'm',
       addr: 'm',
       type: 'small',
@@ -101,6 +111,8 @@
       tasks,
       ...over,
     });
+    return a === 'later' ? null : a;
+  };
   const held = (want: Held['want']): Held => ({
     job: 'wk-1',
     idx: 0,
@@ -125,6 +137,7 @@
   });
   const hold = (h: Held) => {
     k.fromOwner({ k: 'held', token, inst: 'o', held: [h] });
+    owner.told++;
     k.flush();
   };
   const tell = (want: Held['want']) => hold(held(want));
@@ -135,6 +148,7 @@
   };
   const later = (ms: number) => {
     now += ms;
+    cover();
     k.tick();
   };
   const grants = () => {
@@ -148,6 +162,7 @@
     report,
     held,
     hold,
+    owner,
     tell,
     wants,
     settled,
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -289,11 +289,7 @@
       sim: this.sim,
       net: this.net,
       spec: (job: string) => this.jobs.get(job)?.spec,
-      runMs: (job: string, idx: number) => {
-        const s = this.jobs.get(job)?.spec;
-        if (!s || s.shape === 'service') return Number.POSITIVE_INFINITY;
-        return s.shape === 'gang' ? 6000 : 2000 + ((idx * 7919 + job.length * 104729) % 9000);
-      },
+      runMs: (job: string, idx: number) => this.runMs(job, idx),
       fails: (job: string, machine: string) => this.doomed.has(job) || this.faulty.has(machine),
       controllers: () => this.hosts,
       report: (host: string, r: WorkerReport, reply: (a: ReportAnswer) => void) => {
@@ -317,6 +313,13 @@
     };
   }
 
+  /** How long a task runs; tests may say otherwise. */
+  runMs = (job: string, idx: number): number => {
+    const s = this.jobs.get(job)?.spec;
+    if (!s || s.shape === 'service') return Number.POSITIVE_INFINITY;
+    return s.shape === 'gang' ? 6000 : 2000 + ((idx * 7919 + job.length * 104729) % 9000);
+  };
+
   // ---- users ------------------------------------------------------------------------------------------
 
   private anyHost(): string {
