--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -94,6 +94,9 @@
 const BEHIND_MS = 700;
 /** So long nobody in touch is heard before a controller takes itself for alone. */
 const ALONE_MS = 2500;
+/** So long an owner may tell nothing of cancellations while the state service answers; so long it gets no team then. */
+const DEAF_MS = 10000;
+const DEAF_PAUSE_MS = 60000;
 /** Most machines named in one message as having asked here and not the leader. */
 const MOST_STRAYS = 1000;
 /** Part of a lease by which a sibling's last answer from the state service must be later than this one's own. */
@@ -135,6 +138,7 @@
   private leader: LeaderRecord = { inst: '', host: '', token: 0 };
   private heard = new Map<string, { inst: string; at: number; seq: number; okAt: number; marks: Marks }>();
   private inherited: Cover | null = null;
+  private readonly deafUntil = new Map<string, number>();
   private types: MachineType[] = [];
   private typesAt = Number.NEGATIVE_INFINITY;
   private typesBusy = false;
@@ -617,8 +621,8 @@
     for (const [inst, host] of this.nodes()) {
       const h = this.heard.get(host);
       // A new leader has heard nobody yet, and a record names who was alive a moment ago.
-      if (inst === this.o.inst || now - this.ledAt < 3500 || (h?.inst === inst && now - h.at < 3500))
-        load.set(inst, 0);
+      if (inst === this.o.inst || now - this.ledAt < 3500) load.set(inst, 0);
+      else if (h?.inst === inst && now - h.at < 3500 && !this.isDeaf(inst, now)) load.set(inst, 0);
     }
     if (!load.has(this.o.inst)) return;
     const records = this.teamRecords();
@@ -665,6 +669,22 @@
     );
   }
 
+  /**
+   * An owner that is heard, but has told of no cancellations for long although the state service answers: what is said
+   * to it may not arrive. Its teams can't start anything and lose their leases in time, so others get them.
+   */
+  private isDeaf(inst: string, now: number): boolean {
+    if (now < (this.deafUntil.get(inst) ?? 0)) return true;
+    if (now - this.stateOkAt > 1000 || now - this.ledAt < DEAF_MS) return false;
+    for (const [team, r] of this.teamRecords())
+      if (r.inst === inst && this.teams.has(team) && this.keeper!.unheardFor(team, now) > DEAF_MS) {
+        this.o.log.info({ inst, team }, 'owner tells of no cancellations');
+        this.deafUntil.set(inst, now + DEAF_PAUSE_MS);
+        return true;
+      }
+    return false;
+  }
+
   // ---- messages ---------------------------------------------------------------------------------------------
 
   private meshSend(host: string, body: MeshBody): void {
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -70,7 +70,7 @@
     for (const [team, r] of records) {
       const cur = this.l.owners.get(team);
       if (cur && cur.inst === r.inst && cur.gen === r.gen) continue;
-      this.l.owners.set(team, { inst: r.inst, gen: r.gen, synced: false });
+      this.l.owners.set(team, { inst: r.inst, gen: r.gen, synced: false, since: this.o.clock.now() });
       this.l.dropHolds([...this.l.grantAt.keys()].filter((id) => this.l.holdOf(id)?.team === team));
       // Its owner may have learnt of the record, and told all it holds, before this keeper did.
       this.o.send(r.inst, { k: 'resync', token: this.l.token });
@@ -135,6 +135,12 @@
     }
   }
 
+  /** How long a team's owner has told of no cancellations; it counts from when it got the team. */
+  unheardFor(team: string, now: number): number {
+    const since = this.l.owners.get(team)?.since ?? now;
+    return now - Math.max(since, this.l.horizons.of(team));
+  }
+
   /** A sibling has stored a cancellation. Also without the state service: its stops ride with answers at once. */
   cancelled(job: string): void {
     for (const m of this.l.cancel(job)) this.toDirect.add(m);
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -57,6 +57,8 @@
   inst: string;
   gen: number;
   synced: boolean;
+  /** When this controller learnt of it. */
+  since: number;
 }
 
 export interface WantRef {
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -8,6 +8,9 @@
 const amount = v.pipe(v.number(), v.minValue(0));
 const whole = v.pipe(v.number(), v.integer(), v.minValue(1));
 
+/** Least time between the end of a lease and the bound on cancellations: some reads of cancellations fit into it. */
+const LEAST_WINDOW_S = 2;
+
 const Schema = v.object({
   host_name: name,
   area: name,
@@ -34,13 +37,20 @@
       ),
       [],
     ),
-    workers: v.object({
-      report_s: positive,
-      lease_s: positive,
-      gang_wait_s: amount,
-      gang_peer_s: amount,
-      cancel_s: positive,
-    }),
+    workers: v.pipe(
+      v.object({
+        report_s: positive,
+        lease_s: positive,
+        gang_wait_s: amount,
+        gang_peer_s: amount,
+        cancel_s: positive,
+      }),
+      // A renewal may follow a cancellation that nobody has told of yet: without time for it no lease could be renewed.
+      v.check(
+        (w) => w.cancel_s >= w.lease_s + LEAST_WINDOW_S,
+        `cancel_s must exceed lease_s by at least ${LEAST_WINDOW_S} s`,
+      ),
+    ),
     state: v.object({ rps: positive, write_rps: positive, value_kb: positive, txn_ops: whole }),
     cloud: v.object({ rps: positive, list_lag_s: amount }),
     limits: v.object({ core_share: positive, mem_mb: positive, fd_limit: whole }),
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -83,3 +83,11 @@
   expect(f.length).toBe(3);
   expect(f.every((x) => /^policy\.(surprise|idle_s|silent_s) \(line \d+\): /.test(x))).toBe(true);
 });
+
+test('settings: a bound on cancellations that leaves no time beside the lease is a fault', () => {
+  const cancel = (s: string) =>
+    faults(() => checkSettings(GOOD.replace('cancel_s = 60.0', `cancel_s = ${s}`)));
+  expect(cancel('32.0')).toEqual([]);
+  for (const s of ['31.5', '30.0', '20.0'])
+    expect(cancel(s)).toEqual([expect.stringMatching(/^params.workers: cancel_s/)]);
+});
