--- a/test/standin/day.ts
+++ b/test/standin/day.ts
@@ -71,7 +71,7 @@
   };
   const machines = [...w.workers.keys()];
   const others = w.hosts.filter((h) => h !== host);
-  switch (Math.floor(s.random() * 21)) {
+  switch (Math.floor(s.random() * 28)) {
     case 0:
       return w.kill(host, s.chance(0.3) ? s.between(50, 400) : 2500);
     case 1:
@@ -143,6 +143,40 @@
     case 19:
       w.net.slow.set('state', 100);
       return s.after(forMs, () => void w.net.slow.delete('state'));
+    case 21:
+      w.lateWrites = s.between(0.05, 0.4);
+      return s.after(forMs, () => {
+        w.lateWrites = 0;
+      });
+    case 22: {
+      const some = s.chance(0.2) ? machines : machines.filter(() => s.chance(0.4));
+      for (const m of some) w.net.mute.add(m);
+      return s.after(forMs, () => {
+        for (const m of some) w.net.mute.delete(m);
+      });
+    }
+    case 23:
+      return w.pause(host, Math.min(forMs, s.between(1000, 30000)));
+    case 24: {
+      // Refused alone, then an outage for all, with cancellations in between and questions meanwhile.
+      w.state.refused.add(host);
+      s.after(s.between(100, 900), () => w.cancelSome(3, 0));
+      s.after(1000, () => w.state.setDown(true));
+      return s.after(Math.min(forMs + 1000, 60000), () => {
+        w.state.setDown(false);
+        w.state.allow(host);
+      });
+    }
+    case 25:
+      return w.cancelSome(4, s.chance(0.5) ? s.between(5000, 25000) : 0);
+    case 26:
+      w.cancelAtEnd = true;
+      return s.after(forMs, () => {
+        w.cancelAtEnd = false;
+      });
+    case 27:
+      for (let i = 0; i < 6; i++) s.after(s.between(0, forMs), () => w.oddRequest());
+      return;
     case 20:
       // Back at once, and gone again in the midst of the election.
       w.kill(host, s.between(20, 200));
--- a/test/standin/sim.ts
+++ b/test/standin/sim.ts
@@ -95,6 +95,8 @@
 
   /** Hosts that nothing reaches, although what they send arrives. */
   readonly deaf = new Set<string>();
+  /** Hosts that can't open a connection to anybody, although others reach them. */
+  readonly mute = new Set<string>();
   /** Hosts whose answers take so many times as long. */
   readonly slow = new Map<string, number>();
 
@@ -129,6 +131,7 @@
       over = true;
       cb(a);
     };
+    if (this.mute.has(from)) return this.sim.after(deadlineMs, () => end({ got: false, sent: false }));
     const fresh = this.isCut(from, to);
     // Half the calls under a cut go out on a kept connection and are held; the others never connect.
     if (fresh === 'hold' && this.sim.chance(0.5))
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -36,9 +36,36 @@
 interface Proc {
   ctl: Controller;
   alive: boolean;
+  /** Stands still, with its clocks running on: what comes meanwhile waits here. */
+  paused: boolean;
+  backlog: (() => void)[];
 }
 
 const noop = () => {};
+/** A job for odd requests as long as there is none. */
+const ODD: JobSpec = {
+  id: '',
+  cls: 'c',
+  team: 'red',
+  shape: 'array',
+  rank: 2,
+  tasks: 1,
+  cpus: 1,
+  gpus: 0,
+  mem: 1,
+  image: 'i',
+  imageGb: 1,
+  types: null,
+  zone: null,
+  together: false,
+  apart: false,
+  spot: true,
+  estimateS: 1,
+  checkpointS: 0,
+  saveS: 0,
+  deadlineS: null,
+  at: 0,
+};
 
 /** A deployment in simulated time: controllers as written, everything else a stand-in; the rules are checked on what the stand-ins saw. */
 export class World {
@@ -57,6 +84,8 @@
   cloudDown = false;
   /** Copies of reports come late, from moments to well over a lease. */
   copies = false;
+  /** Share of transactions that get no answer and are carried out 2 to 12 s later. */
+  lateWrites = 0;
   /** From here on nothing but work is asked of the controllers. */
   quietFrom = Number.POSITIVE_INFINITY;
   capacity: number;
@@ -93,16 +122,16 @@
   // ---- controllers ------------------------------------------------------------------------------------
 
   boot(host: string): void {
-    const p: Proc = { ctl: undefined as unknown as Controller, alive: true };
+    const p: Proc = { ctl: undefined as unknown as Controller, alive: true, paused: false, backlog: [] };
     const inst = `${host}.${++this.instances}`;
     const clock: Clock = {
       now: () => this.sim.now,
       wall: () => this.sim.now,
       after: (ms, fn) => {
-        this.sim.after(ms, () => p.alive && fn());
+        this.sim.after(ms, () => this.enter(p, fn));
         return noop;
       },
-      soon: (fn) => this.sim.after(0.2, () => p.alive && fn()),
+      soon: (fn) => this.sim.after(0.2, () => this.enter(p, fn)),
       random: () => this.sim.random(),
     };
     p.ctl = new Controller({
@@ -127,7 +156,7 @@
           const text = JSON.stringify(m);
           this.net.send(host, to, () => {
             const q = this.procs.get(to);
-            if (q?.alive) q.ctl.push({ k: 'mesh', m: JSON.parse(text) });
+            if (q) this.enter(q, () => q.ctl.push({ k: 'mesh', m: JSON.parse(text) }));
           });
         },
       },
@@ -142,6 +171,24 @@
     }
   }
 
+  /** Whatever comes to a process: handled at once, after its pause, or never. */
+  private enter(p: Proc, fn: () => void): void {
+    if (!p.alive) return;
+    if (p.paused) p.backlog.push(fn);
+    else fn();
+  }
+
+  /** A controller stands still while its clocks run on. */
+  pause(host: string, forMs: number): void {
+    const p = this.procs.get(host);
+    if (!p?.alive || p.paused) return;
+    p.paused = true;
+    this.sim.after(forMs, () => {
+      p.paused = false;
+      for (const fn of p.backlog.splice(0)) this.enter(p, fn);
+    });
+  }
+
   /** SIMLOG=1 prints what the controllers decide, with simulated time. */
   private logger(host: string): Logger {
     if (!process.env.SIMLOG) return { debug: noop, info: noop, error: noop };
@@ -161,12 +208,17 @@
     const s = this.state;
     type R<T> = { status: number; value?: T; failed?: string[] };
     const ask = <T>(serve: (reply: (r: R<T>) => void) => void, cb: Then<T>, deadline = 1500) =>
-      this.net.call<R<T>>(host, 'state', deadline, serve, (a) => p.alive && cb(result(a)));
+      this.net.call<R<T>>(host, 'state', deadline, serve, (a) => this.enter(p, () => cb(result(a))));
     return {
       get: (k, _u, cb) => ask((r) => r(s.get(host, k)), cb),
       list: (pre, since, _u, cb) => ask((r) => r(s.list(host, pre, since, 50)), cb),
       txn: (t, _u, cb) => {
         const copy = JSON.parse(JSON.stringify(t));
+        if (this.sim.chance(this.lateWrites)) {
+          // No answer, and carried out after newer ones.
+          this.sim.after(this.sim.between(2000, 12000), () => s.txn(host, copy, this.shape));
+          return this.sim.after(1500, () => this.enter(p, () => cb({ ok: false, kind: 'unknown' })));
+        }
         ask((r) => r(s.txn(host, copy, this.shape)), cb);
       },
       grant: (ttl, cb) => ask((r) => r(s.grant(host, ttl)), cb),
@@ -191,14 +243,15 @@
           1500,
           (reply) => this.workers.get(addr)?.direct(token, season, copy, reply),
           (a) => {
-            if (!p.alive) return;
-            if (!a.got) cb({ ok: false, kind: a.sent ? 'unknown' : 'refused' });
-            else
-              cb(
-                a.value.ok
-                  ? { ok: true, value: a.value.report }
-                  : { ok: false, kind: 'conflict', report: a.value.report },
-              );
+            this.enter(p, () => {
+              if (!a.got) cb({ ok: false, kind: a.sent ? 'unknown' : 'refused' });
+              else
+                cb(
+                  a.value.ok
+                    ? { ok: true, value: a.value.report }
+                    : { ok: false, kind: 'conflict', report: a.value.report },
+                );
+            });
           },
         );
       },
@@ -214,7 +267,7 @@
         'cloud',
         3000,
         (reply) => reply(this.cloudDown ? { ok: false, kind: 'refused' } : serve()),
-        (a) => p.alive && cb(a.got ? a.value : { ok: false, kind: a.sent ? 'unknown' : 'refused' }),
+        (a) => this.enter(p, () => cb(a.got ? a.value : { ok: false, kind: a.sent ? 'unknown' : 'refused' })),
       );
     return {
       types: (cb) => ask(() => ({ ok: true, value: this.shape.types }), cb),
@@ -294,14 +347,15 @@
       controllers: () => this.hosts,
       report: (host: string, r: WorkerReport, reply: (a: ReportAnswer) => void) => {
         const p = this.procs.get(host);
-        if (p?.alive) reply(JSON.parse(JSON.stringify(p.ctl.report(JSON.parse(JSON.stringify(r))))));
+        const text = JSON.stringify(r);
+        if (p) this.enter(p, () => reply(JSON.parse(JSON.stringify(p.ctl.report(JSON.parse(text))))));
       },
       copy: (r: WorkerReport) => {
         if (!this.copies || !this.sim.chance(0.3)) return;
         const text = JSON.stringify(r);
         this.sim.after(this.sim.between(500, this.shape.leaseS * 2500), () => {
           const p = this.procs.get(this.anyHost());
-          if (p?.alive) p.ctl.report(JSON.parse(text));
+          if (p) this.enter(p, () => p.ctl.report(JSON.parse(text)));
         });
       },
       gangMates: (job: string, attempt: number) =>
@@ -309,7 +363,11 @@
           .filter((x) => x.alive && !x.hung)
           .flatMap((x) => x.tasks.filter((t) => t.job === job && t.attempt === attempt)),
       isDone: (job: string, idx: number) => this.done.has(`${job}/${idx}`),
-      setDone: (job: string, idx: number) => void this.done.add(`${job}/${idx}`),
+      setDone: (job: string, idx: number) => {
+        this.done.add(`${job}/${idx}`);
+        if (this.cancelAtEnd && this.sim.chance(0.3))
+          this.sim.after(this.sim.between(0, 30), () => this.abort(job));
+      },
     };
   }
 
@@ -337,7 +395,7 @@
       'users',
       host,
       5000,
-      (reply) => p.alive && run(p.ctl, (a) => p.alive && reply(a)),
+      (reply) => this.enter(p, () => run(p.ctl, (a) => p.alive && reply(a))),
       (a) => cb(a.got ? a.value : null),
     );
   }
@@ -412,6 +470,53 @@
     go(60);
   }
 
+  /** Users call off that many jobs that run, at once; some of their machines hang. */
+  cancelSome(n: number, hangMs: number): void {
+    const runs = new Map<string, WorkerStandin[]>();
+    for (const m of this.workers.values())
+      for (const t of m.tasks) if (m.onMachine(t)) runs.set(t.job, [...(runs.get(t.job) ?? []), m]);
+    for (const [id, on] of [...runs].slice(0, n)) {
+      this.sim.after(this.sim.between(0, 200), () => this.abort(id));
+      const m = on[0];
+      if (hangMs === 0 || !m || m.hung) continue;
+      m.hung = true;
+      this.sim.after(hangMs, () => {
+        m.hung = false;
+      });
+    }
+  }
+
+  /** Jobs are called off at the moment at which a task of theirs ends. */
+  cancelAtEnd = false;
+
+  /** Repeats with another body, cancellations of what is done, jobs that fit no machine: what was told stays true. */
+  oddRequest(): void {
+    const known = [...this.jobs.values()].filter((j) => j.accepted);
+    const j = known.length > 0 ? this.sim.pick(known) : undefined;
+    if (!j || this.sim.chance(0.3)) {
+      const spec = { ...(j?.spec ?? ODD), id: `wk-odd${++this.odd}`, cpus: 1e6 };
+      return this.ask(
+        (c, r) => c.door.submit(spec, r),
+        (a) => a?.s === 'job' && this.fault(`accepted: ${spec.id} fits no machine`),
+      );
+    }
+    const asked = this.sim.now;
+    if (j.told === 'done') {
+      return this.ask(
+        (c, r) => c.door.abort(j.spec.id, r),
+        (a) => a?.s === 'job' && this.tell(j, a.state, a.done, asked),
+      );
+    }
+    this.ask(
+      (c, r) => c.door.submit({ ...j.spec, cpus: 1e6, team: 'nobody' }, r),
+      (a) => {
+        if (a?.s === 'job') this.tell(j, a.state, a.done, asked);
+        else if (a && a.s !== 'later') this.fault(`forgotten: a repeat of ${j.spec.id} was answered ${a.s}`);
+      },
+    );
+  }
+  private odd = 0;
+
   /** No answer is older than its question: one asked before the user was told the end may still tell less. */
   private tell(j: UserJob, state: JobState, done: number, asked: number): void {
     const id = j.spec.id;
