--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -47,6 +47,31 @@
   expect([...kinds].sort()).toEqual(['forgotten:', 'quota:', 'ran_cancelled:', 'ran_twice:', 'wrong_place:']);
 });
 
+test('the checker sees a job that is left waiting while a machine has room, and none where its team has no more', () => {
+  const w = new World(4);
+  w.sim.run(2000);
+  for (const h of w.hosts) w.kill(h, 1e9);
+  const put = (spec: ReturnType<typeof job>) =>
+    w.jobs.set(spec.id, {
+      spec,
+      accepted: true,
+      askedCancel: false,
+      cancelledAt: null,
+      told: null,
+      answeredAt: 1e12,
+      finalAt: 0,
+    });
+  w.machine('small', 'a', true);
+  put(job(w, { team: 'red' }));
+  put(job(w, { team: 'blue', shape: 'gang', tasks: 30 }));
+  put(job(w, { team: 'free', zone: 'b' }));
+  w.quietFrom = w.sim.now;
+  w.sim.run(w.sim.now + 89000);
+  expect(w.broken).toEqual([]);
+  w.sim.run(w.sim.now + 3000);
+  expect(w.broken.map((t) => t.split(' ').slice(1, 4).join(' '))).toEqual(['left waiting: wk-000001']);
+});
+
 test('a start sent directly without an answer is neither settled by absence nor reaped; a higher token is asked for', () => {
   const t = keeper(5);
   t.report([]);
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -19,6 +19,7 @@
 import { SHAPE, type Shape } from './shape.js';
 import { type Answer, Net, Sim } from './sim.js';
 import { StateStandin } from './state.js';
+import { Waiting } from './waiting.js';
 import { WorkerStandin } from './worker.js';
 
 const POLICY = checkPolicy(readFileSync(new URL('../../deploy/policy.toml', import.meta.url), 'utf8'));
@@ -117,6 +118,7 @@
       this.sim.after(1000, snap);
     };
     snap();
+    new Waiting(this, (text) => this.fault(text));
   }
 
   // ---- controllers ------------------------------------------------------------------------------------
