--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -472,6 +472,21 @@
     go(60);
   }
 
+  /** A question and a repeat at once, through any controllers; with `cancel` a cancellation between them. */
+  ask2(id: string, cancel: boolean): void {
+    const j = this.jobs.get(id)!;
+    this.poll(j);
+    if (cancel) this.abort(id);
+    const asked = this.sim.now;
+    this.ask(
+      (c, r) => c.door.submit(j.spec, r),
+      (a) => {
+        if (a?.s === 'job') this.tell(j, a.state, a.done, asked);
+        else if (a && a.s !== 'later') this.fault(`forgotten: a repeat of ${id} was answered ${a.s}`);
+      },
+    );
+  }
+
   /** Users call off that many jobs that run, at once; some of their machines hang. */
   cancelSome(n: number, hangMs: number): void {
     const runs = new Map<string, WorkerStandin[]>();
