--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -5,6 +5,7 @@
 import { Mirror } from './mirror.js';
 import { Owner } from './owner.js';
 import type { PolicyFn } from './policy.js';
+import { Told } from './told.js';
 import type {
   Clock,
   CloudPort,
@@ -31,10 +32,14 @@
       strays: string[];
       /** A time on the sender's clock. */
       mark: number;
+      /** The newest mark that the sender had from an instance, and how many cancellations it has told users of. */
+      had: { inst: string; mark: number } | null;
+      told: number;
       /** The leader's `Cover`, as of the newest mark of that instance that it reaches. */
       cover: { inst: string; mark: number; pending: string[] | null } | null;
     }
-  | { k: 'cancelled'; job: string }
+  /** The n-th cancellation that a user was told of by the sender. */
+  | { k: 'cancelled'; job: string; n: number }
   | { k: 'images'; add: ImageFact[]; gone: string[] }
   | { k: 'owner'; to: string; m: OwnerMsg }
   | { k: 'keeper'; to: string; m: KeeperMsg };
@@ -138,6 +143,7 @@
   private leader: LeaderRecord = { inst: '', host: '', token: 0 };
   private heard = new Map<string, { inst: string; at: number; seq: number; okAt: number; marks: Marks }>();
   private inherited: Cover | null = null;
+  private readonly told: Told;
   private readonly deafUntil = new Map<string, number>();
   private types: MachineType[] = [];
   private typesAt = Number.NEGATIVE_INFINITY;
@@ -146,6 +152,7 @@
 
   constructor(private readonly o: ControllerOptions) {
     this.teams = new Map(o.teams.map((t) => [t.name, t]));
+    this.told = new Told(o.peers);
     this.stateOkAt = o.clock.now() - 1e6;
     this.state = this.watched(o.statePort);
     const cloud = this.queuedCloud(o.cloud);
@@ -192,7 +199,7 @@
       () => this.types,
       o.log,
       () => o.clock.wall(),
-      (id) => this.cancelledHere(id),
+      (id) => this.tellCancelled(id),
     );
   }
 
@@ -300,6 +307,8 @@
         okAgeMs: Math.max(0, now - this.stateOkAt),
         strays: p === this.leader.host ? strays : [],
         mark: now,
+        had: this.hadFrom(p),
+        told: this.told.n,
         cover: this.coverFor(p, cover),
       });
   }
@@ -325,14 +334,24 @@
     return { inst: h.inst, mark, pending: c.pending.length > MOST_STRAYS ? null : c.pending };
   }
 
+  private hadFrom(host: string): { inst: string; mark: number } | null {
+    const h = this.heard.get(host);
+    const mark = h?.marks.by(Number.POSITIVE_INFINITY) ?? null;
+    return h && mark !== null ? { inst: h.inst, mark } : null;
+  }
+
   private inherit(c: Cover): void {
     if (!this.inherited || c.at >= this.inherited.at) this.inherited = c;
   }
 
-  /** A cancellation that was stored here: whoever leads may stop its tasks at once, before their owner reads of it. */
-  private cancelledHere(job: string): void {
-    if (this.keeper) this.keeper.cancelled(job);
-    else if (this.leader.host !== '') this.meshSend(this.leader.host, { k: 'cancelled', job });
+  /**
+   * A user is about to be told that a job is cancelled. Whoever leads, now or next, may stop its tasks at once, before
+   * their owner reads of it.
+   */
+  private tellCancelled(job: string): void {
+    if (!this.told.here(job)) return;
+    this.keeper?.cancelled(job);
+    for (const p of this.o.peers) this.meshSend(p, { k: 'cancelled', job, n: this.told.n });
   }
 
   /** Ready unless this controller alone is without the state service. */
@@ -501,6 +520,8 @@
         if (this.keeper?.token === rec.token) this.stepDown(`token ${token} seen`);
       },
       inherited: () => this.inherited,
+      isCancelled: (job) => this.told.has(job),
+      told: (now) => this.told.asOf(now),
       siblings: () => [...this.heard.values()].filter((h) => this.o.clock.now() - h.at < 3000).length,
       resign: (reason) => this.resign(rec.token, reason),
       raise: (reason) => this.raise(rec.token, reason),
@@ -723,6 +744,13 @@
         )
           this.stepDown('a sibling knows a later leader');
         marks.add(m.body.mark, now);
+        this.told.word(
+          m.host,
+          m.inst,
+          m.body.told,
+          m.body.had?.inst === this.o.inst ? m.body.had.mark : null,
+          now,
+        );
         // A mark of an earlier process is a time on another clock.
         if (m.body.cover?.inst === this.o.inst) {
           const pending = m.body.cover.pending;
@@ -735,6 +763,7 @@
         if (!this.keeper) this.images.take(m.body.add, m.body.gone);
         return;
       case 'cancelled':
+        this.told.there(m.host, m.inst, m.body.job, m.body.n, now);
         this.keeper?.cancelled(m.body.job);
         return;
       case 'owner':
--- a/src/core/door.ts
+++ b/src/core/door.ts
@@ -29,7 +29,7 @@
     private readonly types: () => MachineType[],
     private readonly log: Logger,
     private readonly now: () => number,
-    /** A cancellation has been stored. */
+    /** A user is about to be told that a job is cancelled. */
     private readonly cancelled: (id: string) => void,
   ) {}
 
@@ -125,7 +125,6 @@
             if (r.ok) {
               this.log.debug({ job: id }, 'cancelled by its user');
               this.keep(id, { d: 0, n: a.done });
-              this.cancelled(id);
               return cb({ s: 'job', created: false, state: 'cancelled', done: a.done, running: 0 });
             }
             if ((r.kind === 'conflict' || r.kind === 'unknown') && left > 0) return attempt(left - 1);
@@ -166,6 +165,7 @@
 
   private keep(id: string, e: EndRecord): void {
     this.finals.set(id, e);
+    if (e.d === 0) this.cancelled(id);
     if (this.finals.size > 20000)
       for (const k of [...this.finals.keys()].slice(0, 5000)) this.finals.delete(k);
   }
--- a/src/core/horizon.ts
+++ b/src/core/horizon.ts
@@ -92,16 +92,4 @@
   get whole(): boolean {
     return this.byTeam.size >= this.teams.length;
   }
-
-  least(): number {
-    let h = Number.POSITIVE_INFINITY;
-    for (const t of this.teams) h = Math.min(h, this.of(t));
-    return h;
-  }
-
-  greatest(): number {
-    let h = Number.NEGATIVE_INFINITY;
-    for (const t of this.teams) h = Math.max(h, this.of(t));
-    return h;
-  }
 }
--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -202,7 +202,7 @@
       e.graceS = h.graceS;
       e.season = h.season > 0 ? h.season : e.season;
     }
-    if (e.want === 'stop' || (e.want === 'run' && this.l.isCancelled(e.job))) this.l.noteStop(m, e);
+    if (e.want === 'stop' || (e.want === 'run' && this.o.isCancelled(e.job))) this.l.noteStop(m, e);
     if (e.want === 'reap' && m.up && !m.tasks.has(key) && !e.direct && e.sentWith < 0) {
       this.l.removeEntry(m, e);
       return null;
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -44,15 +44,16 @@
   siblings(): number;
   /** What the leader before this one had told of cancellations. */
   inherited(): Cover | null;
+  /** Known here to be stored as cancelled, whatever its owner has read. */
+  isCancelled(job: string): boolean;
+  /** All that any user was told to be cancelled between the two times is known here. */
+  told(now: number): { since: number; at: number };
   /** Nothing but this controller's own network explains what is seen. */
   resign(why: string): void;
   /** Held-back commands stand in the way of a stop: a higher token would end them. */
   raise(why: string): void;
 }
 
-/** Cancellations told by siblings that are remembered: owners know them within moments unless there is an outage. */
-const MOST_CANCELLED = 5000;
-
 export interface OwnerRef {
   inst: string;
   gen: number;
@@ -88,8 +89,6 @@
   private readonly stopping = new Set<Machine>();
   readonly horizons: Horizons;
   private readonly window: number;
-  /** Jobs that a sibling told to be stored as cancelled: their owner may not know it yet. */
-  private readonly cancelled = new Set<string>();
   /** Entries whose owners were asked to stop them. */
   readonly evictions = new Set<Entry>();
   private readonly used = new Map<string, { cpus: number; gpus: number }>();
@@ -218,9 +217,25 @@
 
   // ---- cancellations --------------------------------------------------------------------------------
 
+  /**
+   * Before this time whatever users were told to be cancelled has become stops for a team: by what its owner has read,
+   * or, from there on, by what all controllers have told one another.
+   */
+  private horizon(team: string, now: number): number {
+    const h = this.horizons.of(team);
+    const told = this.o.told(now);
+    return h >= told.since ? Math.max(h, told.at) : h;
+  }
+
+  private least(now: number): number {
+    let h = Number.POSITIVE_INFINITY;
+    for (const t of this.o.teams.keys()) h = Math.min(h, this.horizon(t, now));
+    return h;
+  }
+
   /** All that was cancelled before some moment young enough has become stops for this team. */
   covered(team: string, now: number): boolean {
-    return now - this.horizons.of(team) <= this.window;
+    return now - this.horizon(team, now) <= this.window;
   }
 
   /**
@@ -229,13 +244,14 @@
    * have told what they hold nobody knows what is there: then what the last leader told of cancellations must do.
    */
   mayRenew(m: Machine, now: number): boolean {
-    const h = this.horizons;
-    if (!h.whole) return coversMachine(this.o.inherited(), m.name, now, this.window);
-    if (m.strangers.size > 0 && this.strange(m)) return now - h.least() <= this.window;
-    let at = Number.POSITIVE_INFINITY;
-    for (const e of m.entries.values())
-      if (e.want !== 'reap' && e.want !== 'hold') at = Math.min(at, h.of(e.team));
-    return now - (at === Number.POSITIVE_INFINITY ? h.greatest() : at) <= this.window;
+    if (!this.horizons.whole) return coversMachine(this.o.inherited(), m.name, now, this.window);
+    if (m.strangers.size > 0 && this.strange(m)) return now - this.least(now) <= this.window;
+    const teams = new Set<string>();
+    for (const e of m.entries.values()) if (e.want !== 'reap' && e.want !== 'hold') teams.add(e.team);
+    for (const t of teams) if (!this.covered(t, now)) return false;
+    if (teams.size > 0) return true;
+    for (const t of this.o.teams.keys()) if (this.covered(t, now)) return true;
+    return false;
   }
 
   /** An entry is to be stopped. */
@@ -244,18 +260,8 @@
     this.stopping.add(m);
   }
 
-  isCancelled(job: string): boolean {
-    return this.cancelled.has(job);
-  }
-
   /** Stored as cancelled: stopping its tasks is always right, whoever owns them. Returns where some may run. */
   cancel(job: string): Machine[] {
-    this.cancelled.add(job);
-    if (this.cancelled.size > MOST_CANCELLED)
-      for (const x of this.cancelled) {
-        this.cancelled.delete(x);
-        break;
-      }
     const out: Machine[] = [];
     for (const m of this.machines.values())
       for (const e of m.entries.values()) {
@@ -280,7 +286,7 @@
       if (some) pending.push(m.name);
       else this.stopping.delete(m);
     }
-    return { at: this.horizons.least(), pending };
+    return { at: this.least(this.o.clock.now()), pending };
   }
 
   // ---- workers --------------------------------------------------------------------------------------
--- a/src/io/mesh.ts
+++ b/src/io/mesh.ts
@@ -28,13 +28,16 @@
   return Array.isArray(v) && v.every((x) => typeof x === 'string');
 }
 
-function isCover(v: unknown): boolean {
+function isMark(v: unknown): boolean {
   if (v === null) return true;
   if (typeof v !== 'object') return false;
-  const c = v as { inst?: unknown; mark?: unknown; pending?: unknown };
-  return (
-    typeof c.inst === 'string' && typeof c.mark === 'number' && (c.pending === null || isNames(c.pending))
-  );
+  const m = v as { inst?: unknown; mark?: unknown };
+  return typeof m.inst === 'string' && typeof m.mark === 'number';
+}
+
+function isCover(v: unknown): boolean {
+  const pending = v === null ? null : (v as { pending?: unknown }).pending;
+  return isMark(v) && (pending === null || isNames(pending));
 }
 
 /** A message of the shape that controllers send; anything else is dropped. */
@@ -53,6 +56,9 @@
         strays?: unknown;
         mark?: unknown;
         cover?: unknown;
+        had?: unknown;
+        told?: unknown;
+        n?: unknown;
         job?: unknown;
         add?: unknown;
         gone?: unknown;
@@ -66,9 +72,11 @@
       typeof b.okAgeMs === 'number' &&
       isNames(b.strays) &&
       typeof b.mark === 'number' &&
+      typeof b.told === 'number' &&
+      isMark(b.had) &&
       isCover(b.cover)
     );
-  if (b.k === 'cancelled') return typeof b.job === 'string';
+  if (b.k === 'cancelled') return typeof b.job === 'string' && typeof b.n === 'number';
   if (b.k === 'images') return isFacts(b.add) && isNames(b.gone);
   return (
     (b.k === 'owner' || b.k === 'keeper') &&
--- a/test/cancellation.test.ts
+++ b/test/cancellation.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest';
 import { coversMachine, Marks, windowMs } from '../src/core/horizon.js';
 import { Owner } from '../src/core/owner.js';
+import { Told } from '../src/core/told.js';
 import type { OwnerMsg, StatePort } from '../src/core/types.js';
 import { job } from './standin/day.js';
 import { keeper, listed } from './standin/keeper.js';
@@ -74,6 +75,50 @@
   expect(w.broken).toEqual([]);
 });
 
+test.each([1, 2])(
+  'while all controllers are in touch an outage of any length ends no task but cancelled ones (%i)',
+  (seed) => {
+    const { w, ids, on } = running(seed);
+    const before = ids.slice(1).flatMap((id) => on(id).map((m) => `${m.name}/${m.season}`));
+    const leader = leaderOf(w);
+    cancelAt(w, w.hosts.find((h) => h !== leader)!, ids[0]!);
+    w.sim.run(w.sim.now + 12);
+    w.state.setDown(true);
+    w.sim.run(w.sim.now + w.shape.cancelS * 3000);
+    expect(w.jobs.get(ids[0]!)!.cancelledAt).not.toBeNull();
+    expect(on(ids[0]!)).toEqual([]);
+    expect(ids.slice(1).flatMap((id) => on(id).map((m) => `${m.name}/${m.season}`))).toEqual(before);
+    // One that ends may have told a user last of all what it told nobody else.
+    w.kill(w.hosts.find((h) => h !== leader)!, 500);
+    w.sim.run(w.sim.now + w.shape.cancelS * 1000);
+    expect(ids.flatMap((id) => on(id))).toEqual([]);
+    w.state.setDown(false);
+    w.sim.run(w.sim.now + 30000);
+    expect(w.broken).toEqual([]);
+  },
+);
+
+test('what siblings told counts from when nothing of it is missing, and only up to the mark they had', () => {
+  const t = new Told(['b', 'c']);
+  expect(t.asOf(100).at).toBe(Number.NEGATIVE_INFINITY);
+  t.word('b', 'b1', 4, 90, 100);
+  t.word('c', 'c1', 0, null, 110);
+  t.word('b', 'b1', 4, 200, 205);
+  t.word('c', 'c1', 0, 180, 206);
+  expect(t.asOf(210)).toEqual({ since: 110, at: 180 });
+  t.there('b', 'b1', 'wk-1', 5, 215);
+  t.word('b', 'b1', 5, 212, 216);
+  t.word('c', 'c1', 0, 213, 217);
+  expect([t.has('wk-1'), t.asOf(220)]).toEqual([true, { since: 110, at: 212 }]);
+  // The sixth was lost: from the seventh on nothing is missing again.
+  t.there('b', 'b1', 'wk-3', 7, 230);
+  expect(t.asOf(231)).toEqual({ since: 230, at: Number.NEGATIVE_INFINITY });
+  t.word('b', 'b1', 7, 232, 233);
+  t.word('c', 'c2', 0, 234, 235);
+  expect(t.asOf(236)).toEqual({ since: 235, at: Number.NEGATIVE_INFINITY });
+  expect([t.here('wk-9'), t.here('wk-9'), t.n]).toEqual([true, false, 1]);
+});
+
 test('a worker that lost the leader long before its zone did is not kept alive from inside with what was cancelled', () => {
   const { w, ids, on } = running(7);
   const leader = leaderOf(w);
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -66,7 +66,9 @@
 test.each(seeds)('cancellations, questions and repeats meet the end of the last task (%i)', (seed) => {
   const w = new World(seed);
   w.runMs = () => 3000;
-  const specs = Array.from({ length: 16 }, (_, i) => job(w, { id: `wk-e${i}`, tasks: 1 + (i % 2) }));
+  const specs = Array.from({ length: 24 }, (_, i) => job(w, { id: `wk-e${i}`, tasks: 1 + (i % 2) }));
+  // So that a read and the write that rests on it lie apart.
+  w.net.slow.set('state', 60);
   for (const s of specs) w.submit(s);
   const ended = new Map<string, number>();
   const watch = () => {
