--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -228,6 +228,7 @@
   (seed) => {
     const { w, ids } = world(seed, () => 1e6, [{ tasks: 4 }, { team: 'blue', tasks: 3 }]);
     const l = leaderOf(w);
+    w.cloudDown = true;
     for (const x of [...others(w, l), 'state']) w.net.cut(l, x, 'hold');
     // What the next leader says reaches no worker: they stay with the old one.
     for (const m of w.workers.keys()) for (const h of others(w, l)) w.net.cut(m, h, 'hold');
