--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -456,6 +456,13 @@
     const reaps: WorkerCommand[] = [];
     const now = this.o.clock.now();
     let since = now;
+    // Stops first: the answer that renews a lease carries all there are.
+    for (const e of m.entries.values()) {
+      if (e.want !== 'stop' || e.settled) continue;
+      const t = m.tasks.get(e.key);
+      if (!t || t.phase === 'exited' || (t.phase === 'saving' && e.graceS > 0)) continue;
+      out.push({ op: 'stop', job: e.job, idx: e.idx, attempt: e.attempt, graceS: e.graceS });
+    }
     for (const e of m.entries.values()) {
       if (out.length >= COMMANDS_AT_ONCE) break;
       if (e.want === 'hold' || e.settled) continue;
@@ -470,9 +477,6 @@
         } else e.sentWith = tally;
         e.timed = true;
         out.push({ op: 'start', ...id });
-      } else if (e.want === 'stop') {
-        if (!t || t.phase === 'exited' || (t.phase === 'saving' && e.graceS > 0)) continue;
-        out.push({ op: 'stop', ...id, graceS: e.graceS });
       } else if (e.want === 'reap') {
         // A start that may still arrive would run the task again once it is forgotten.
         if (t?.phase !== 'exited' || e.direct || e.sentWith >= 0 || !this.mayReap(m, t, e.key)) continue;
@@ -482,7 +486,8 @@
     }
     // Each change of a machine's tasks makes it report once more: ended ones are removed together, or with something else.
     if (out.length > 0 || reaps.length >= REAPS_TOGETHER || now - since > REAP_MS) out.push(...reaps);
-    if (m.strangers.size > 0 && this.o.entitled() && this.l.allSynced()) {
+    if (m.strangers.size > 0 && this.l.allSynced()) {
+      const entitled = this.o.entitled();
       for (const [key, since] of m.strangers) {
         if (out.length >= COMMANDS_AT_ONCE) break;
         const t = m.tasks.get(key);
@@ -492,7 +497,9 @@
         }
         if (now - since < 3000 || now - this.l.startedAt < 3000) continue;
         const id = { job: t.job, idx: t.idx, attempt: t.attempt };
+        // Nobody's, as far as all owners have told: also without entitlement, since later tokens bar it.
         if (t.phase !== 'exited') out.push({ op: 'stop', ...id, graceS: 0 });
+        else if (!entitled) continue;
         else if (this.mayReap(m, t, key)) out.push({ op: 'reap', ...id });
       }
     }
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -265,7 +265,8 @@
     const out: Machine[] = [];
     for (const m of this.machines.values())
       for (const e of m.entries.values()) {
-        if (e.job !== job || e.want !== 'run') continue;
+        // Also one that is stopped to make room, and may be saving.
+        if (e.job !== job || (e.want !== 'run' && e.want !== 'stop')) continue;
         e.graceS = 0;
         this.noteStop(m, e);
         this.touch(m);
