--- a/src/core/keeper.ts
+++ b/src/core/keeper.ts
@@ -1,6 +1,6 @@
 import { Fleet } from './fleet.js';
 import { type KeeperOptions, Ledger } from './ledger.js';
-import { type Entry, isNewer, type Machine, newEntry, provenAt } from './machine.js';
+import { type Entry, isNewer, lingering, type Machine, newEntry, provenAt } from './machine.js';
 import { Placing } from './placing.js';
 import type { Policy } from './policy.js';
 import type {
@@ -332,6 +332,7 @@
     }
     this.l.touch(m);
     m.tasks.clear();
+    this.l.setLingers(m, lingering(r.tasks));
     for (const t of r.tasks) m.tasks.set(taskKey(t.job, t.idx, t.attempt), t);
     for (const e of [...m.entries.values()]) {
       if (e.want === 'hold') {
@@ -665,6 +666,7 @@
       this.l.removeEntry(m, e);
     }
     this.l.machines.delete(name);
+    this.l.setLingers(m, lingering([]));
     this.l.touch(m);
     this.fleet.capacity.freed(m);
   }
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -254,6 +254,24 @@
     return false;
   }
 
+  /** Where attempts of a job that ended without being done are listed still. */
+  readonly lingering = new Map<string, Set<Machine>>();
+
+  setLingers(m: Machine, jobs: ReadonlySet<string>): void {
+    for (const job of m.lingers) {
+      if (jobs.has(job)) continue;
+      const at = this.lingering.get(job);
+      at?.delete(m);
+      if (at?.size === 0) this.lingering.delete(job);
+    }
+    for (const job of jobs) {
+      const at = this.lingering.get(job);
+      if (at) at.add(m);
+      else this.lingering.set(job, new Set([m]));
+    }
+    m.lingers = jobs;
+  }
+
   /** An entry is to be stopped. */
   noteStop(m: Machine, e: Entry): void {
     e.want = 'stop';
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -66,6 +66,8 @@
   leaving: boolean;
   idleSince: number;
   errors: Map<string, number>;
+  /** Jobs with attempts that ended here without being done, and are listed still. */
+  lingers: ReadonlySet<string>;
   strangers: Map<string, number>;
   /** Room being freed here by stops is for this job. */
   reserved: { job: string; rank: number; until: number } | null;
@@ -153,6 +155,19 @@
   return s;
 }
 
+const NONE: ReadonlySet<string> = new Set();
+
+/** The jobs of ended attempts that were not done, in a worker's list. */
+export function lingering(tasks: readonly TaskReport[]): ReadonlySet<string> {
+  let jobs: Set<string> | null = null;
+  for (const t of tasks)
+    if (t.phase === 'exited' && t.why !== 'done') {
+      jobs ??= new Set();
+      jobs.add(t.job);
+    }
+  return jobs ?? NONE;
+}
+
 export function newMachine(name: string, now: number): Machine {
   return {
     name,
@@ -190,6 +205,7 @@
     leaving: false,
     idleSince: now,
     errors: new Map(),
+    lingers: NONE,
     strangers: new Map(),
     reserved: null,
     runs: 0,
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -7,6 +7,11 @@
 /** Part of an aim on waiting after which lower work is stopped for it. */
 const STOP_AFTER = 0.25;
 
+/** So long nothing of a job may find room before it takes what is kept for others. */
+const STARVED_MS = 45000;
+/** So long only machines that list ended attempts of a job may have room for it. */
+const LINGER_MS = 15000;
+
 /** Gives room to what owners want, by rank, guarantee and order, and has lower work stopped for it. */
 export class Placing {
   readonly declined = new Map<string, number>();
@@ -15,6 +20,8 @@
   private guaranteeS = Number.POSITIVE_INFINITY;
   /** Since when a job's work has found no room. */
   private readonly unmet = new Map<string, number>();
+  /** Since when nothing at all of a job has found room. */
+  private readonly nothing = new Map<string, number>();
   private readonly batchShapes = new Map<string, { want: Want; mean: number }>();
   private grants = 0;
   /** In this pass: kinds of wants that nothing can be stopped for, and kinds that find no room. */
@@ -94,8 +101,7 @@
       for (const want of wants)
         if (this.l.heeds(inst, want.team)) {
           const inside = this.l.within(usage.get(want.team), want.team, want);
-          // A guarantee is to be had at once, whatever the aim allows.
-          refs.push({ want: inside && want.patienceS ? { ...want, patienceS: 0 } : want, inst, inside });
+          refs.push({ want: this.seenFrom(want, inside, now), inst, inside });
         }
     refs.sort(
       (a, b) =>
@@ -119,6 +125,7 @@
     for (const m of this.l.reserved) if (m.reserved) held.add(m.reserved.job);
     const grants = new Map<string, Grant[]>();
     const wanted = new Set<string>();
+    const served = new Set<string>();
     const promised = this.freeing(now);
     const ready = this.o.entitled();
     const kept = [...this.batchShapes.values()].sort((a, b) => a.want.rank - b.want.rank);
@@ -151,6 +158,8 @@
         if (open > 0 && ready) open -= this.preempt(want, open, usage, now, true);
       }
       open = place(ref, open, list);
+      if (open < count) this.nothing.delete(want.job);
+      else if (!this.nothing.has(want.job)) this.nothing.set(want.job, now);
       if (open <= 0) return void this.unmet.delete(want.job);
       // Room that stops already under way will free is waited for before more is stopped; what comes into it
       // counts as used, or one task's guarantee would be claimed for all.
@@ -181,22 +190,21 @@
         cold = [];
         group = next;
       }
-      // Lower work leaves the room that the next job of a class with an aim on waiting will need.
+      // Lower work leaves the room that the next job of a class with an aim on waiting will need; not for ever, or it would
+      // wait beside free machines where the cloud has no more (seen in a seeded day).
       while (kept.length > 0 && kept[0]!.want.rank < want.rank) {
         const k = kept.shift()!;
+        for (const r of refs) {
+          const c = r.want.starved && r.want.rank > k.want.rank ? this.openCount(r.want, now) : 0;
+          if (c > 0) finish(r, c);
+          if (c > 0) served.add(r.want.job);
+        }
         const free: Want = { ...k.want, avoid: [], near: '', zoneRoom: null };
         fill(list, free, Math.round(k.mean * this.l.policyNow.reserve_batch), scarce, () => {});
       }
-      // What its owner has taken in of the grants is no longer wanted by it.
-      let count = want.count;
-      for (const id of this.l.holds.get(want.job) ?? []) if (id > want.seen) count--;
       wanted.add(want.job);
-      const pause = this.declined.get(want.job);
-      if (pause !== undefined) {
-        if (pause > now) continue;
-        this.declined.delete(want.job);
-      }
-      if (count <= 0 || (want.whole && count < want.count)) continue;
+      const count = served.has(want.job) ? 0 : this.openCount(want, now);
+      if (count <= 0) continue;
       if (want.service || want.whole || (want.patienceS ?? 0) <= 0) finish(ref, count);
       else {
         cold.push({ ref, count: place(ref, count, warmRooms(want.image)) });
@@ -205,6 +213,7 @@
     for (const c of cold) finish(c.ref, c.count);
     for (const [inst, g] of grants) this.o.send(inst, { k: 'grants', token: this.l.token, grants: g });
     for (const job of this.unmet.keys()) if (!wanted.has(job)) this.unmet.delete(job);
+    for (const job of this.nothing.keys()) if (!wanted.has(job)) this.nothing.delete(job);
     for (const m of this.l.reserved)
       if (!m.reserved || !wanted.has(m.reserved.job)) {
         m.reserved = null;
@@ -213,6 +222,41 @@
     return left;
   }
 
+  /** How much of a want is open: what its owner has taken in of the grants is no longer wanted by it. */
+  private openCount(want: Want, now: number): number {
+    let count = want.count;
+    for (const id of this.l.holds.get(want.job) ?? []) if (id > want.seen) count--;
+    const pause = this.declined.get(want.job);
+    if (pause !== undefined) {
+      if (pause > now) return 0;
+      this.declined.delete(want.job);
+    }
+    return want.whole && count < want.count ? 0 : count;
+  }
+
+  /** A want as this pass sees it. */
+  private seenFrom(want: Want, inside: boolean, now: number): Want {
+    const since = this.nothing.get(want.job) ?? now;
+    const starved = now - since > STARVED_MS;
+    const lingers = this.l.lingering.get(want.job);
+    if (!starved && !lingers && !(inside && want.patienceS)) return want;
+    const w = { ...want, starved };
+    // A guarantee is to be had at once, whatever the aim allows.
+    if (inside && w.patienceS) w.patienceS = 0;
+    // A worker that lists an earlier attempt may refuse the next: places taken there came back again and again, each
+    // time at the cost of work stopped for it (seen in a seeded day: nothing ended any more).
+    if (lingers) w.avoid = [...want.avoid, ...[...lingers].map((m) => m.name)];
+    // Nothing is left but where they linger: under a higher token they may go.
+    if (lingers && now - since > LINGER_MS && [...lingers].some((m) => this.wouldFit(m, want, now)))
+      this.o.raise(`ended attempts of ${want.job} stand in its way`);
+    return w;
+  }
+
+  private wouldFit(m: Machine, w: Want, now: number): boolean {
+    const r = this.l.usable(m, now) ? this.l.roomOf(m, now) : null;
+    return r !== null && fits(r, w) && allowed(r, w);
+  }
+
   private grant(m: Machine, w: Want, now: number): Grant {
     const id = ++this.grants;
     const e = newEntry(
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -67,6 +67,7 @@
     w.zoneCap,
     w.together,
     patient,
+    w.starved === true,
   ].join('|');
 }
 
@@ -107,6 +108,7 @@
 function open(r: Room, w: Want, scarceZone: string | null): boolean {
   if (!fits(r, w)) return false;
   if (r.reserved && r.reserved.job !== w.job && w.rank > 0) return false;
+  if (w.starved) return allowed(r, w) && !w.avoid.includes(r.name);
   // The ordinary room of a zone that jobs which must be spread depend on is theirs; what can be stopped
   // for them may use it meanwhile.
   if (scarceZone === r.zone && !r.spot && w.service && !w.zoneRoom && w.zone === null) return false;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -112,6 +112,8 @@
   estimateS: number;
   types: string[] | null;
   spot: boolean;
+  /** Nothing of it has found room for long: room kept for others is open to it. */
+  starved?: boolean;
   /** Only cheap machines are worth renting for it. */
   spotOnly?: boolean;
   zone: string | null;
--- a/test/placing.test.ts
+++ b/test/placing.test.ts
@@ -132,3 +132,43 @@
   }
   expect(t.removed).toEqual(['m']);
 });
+
+test('room kept for urgent work is given to lower work that found none for long', () => {
+  const t = keeper(5, { reserve_batch: 4, idle_s: 1e6 }, [{ kind: 'wait', cls: 'u', withinS: 1 }]);
+  t.report([]);
+  t.wants([makeWant('wk-u', { cls: 'u', rank: 1, cpus: 4 })]);
+  t.grants();
+  const low = makeWant('wk-low', { rank: 3, cpus: 4 });
+  t.wants([low]);
+  t.k.fromOwner({ k: 'drop', token: 5, inst: 'o', tasks: [], grants: [1] });
+  const run = (seconds: number) => {
+    for (let i = 0; i < seconds; i++) {
+      t.report([]);
+      t.later(1000);
+      t.k.flush();
+    }
+  };
+  run(40);
+  expect(t.grants()).toEqual(['wk-u']);
+  run(20);
+  expect(t.grants()).toEqual(['wk-u', 'wk-low']);
+});
+
+test('a machine that lists an ended attempt of a job is not given the next; a higher token is taken if only such are left', () => {
+  const t = keeper(5, { idle_s: 1e6 });
+  t.report([]);
+  const ended = { ...listed('exited'), why: 'stopped' as const };
+  t.report([ended]);
+  t.wants([makeWant('wk-1'), makeWant('wk-2')]);
+  expect(t.grants()).toEqual(['wk-2']);
+  for (let i = 0; i < 20; i++) {
+    t.report([ended]);
+    t.later(1000);
+    t.k.flush();
+  }
+  expect(t.grants()).toEqual(['wk-2']);
+  expect(t.raised.length).toBeGreaterThan(0);
+  t.report([]);
+  t.later(1000);
+  expect(t.grants()).toEqual(['wk-2', 'wk-1']);
+});
--- a/test/standin/keeper.ts
+++ b/test/standin/keeper.ts
@@ -5,6 +5,7 @@
   Held,
   KeeperMsg,
   ListedMachine,
+  Objective,
   Result,
   TaskReport,
   Want,
@@ -14,7 +15,7 @@
 import { SHAPE } from './shape.js';
 
 /** A keeper alone, with hand-made reports and a worker whose answers the test decides on. */
-export function keeper(token: number, policy: Partial<Policy> = {}) {
+export function keeper(token: number, policy: Partial<Policy> = {}, objectives: Objective[] = []) {
   let now = 0;
   const said: KeeperMsg[] = [];
   const calls: { cmds: WorkerCommand[]; cb: (r: Result<WorkerReport>) => void }[] = [];
@@ -33,7 +34,7 @@
     listLagS: 3,
     cloudRps: 5,
     images: new ImageFacts(),
-    objectives: [],
+    objectives,
     first: true,
     clock: { now: () => now, wall: () => now, after: () => () => {}, soon: () => {}, random: () => 0 },
     log: { debug: () => {}, info: () => {}, error: () => {} },
