--- a/src/core/door.ts
+++ b/src/core/api.ts
@@ -5,12 +5,12 @@
 import type { JobSpec, Logger, MachineType, StatePort, Team, Urgency } from './types.js';
 
 export type JobState = 'queued' | 'running' | 'done' | 'cancelled';
-export type DoorAnswer =
+export type ApiAnswer =
   | { s: 'job'; created: boolean; state: JobState; done: number; running: number }
   | { s: 'unknown' }
   | { s: 'never'; reason: string }
   | { s: 'later'; reason: string };
-export type Answer = (a: DoorAnswer) => void;
+export type Answer = (a: ApiAnswer) => void;
 
 interface Found {
   open: { rec: OpenRecord; version: number } | null;
@@ -19,7 +19,7 @@
 }
 
 /** Answers users from what the state service holds when they ask; only final answers are kept here. */
-export class Door {
+export class Api {
   private readonly finals = new Map<string, EndRecord>();
 
   constructor(
@@ -170,7 +170,7 @@
       for (const k of [...this.finals.keys()].slice(0, 5000)) this.finals.delete(k);
   }
 
-  private answer(id: string, f: Found, created: boolean): DoorAnswer {
+  private answer(id: string, f: Found, created: boolean): ApiAnswer {
     if (f.end) {
       return { s: 'job', created, state: f.end.d === 1 ? 'done' : 'cancelled', done: f.end.n, running: 0 };
     }
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -1,19 +1,19 @@
-import { Door } from './door.js';
+import { Api } from './api.js';
 import { type Cover, coversMachine, Marks, readGapMs, windowMs } from './horizon.js';
 import { type ImageFact, ImageFacts } from './images.js';
-import { Keeper } from './keeper.js';
 import { Mirror } from './mirror.js';
 import { Owner } from './owner.js';
 import type { PolicyFn } from './policy.js';
+import { Scheduler } from './scheduler.js';
 import { Told } from './told.js';
 import type {
   Clock,
   CloudPort,
-  KeeperMsg,
   Logger,
   MachineType,
   Objective,
   OwnerMsg,
+  SchedulerMsg,
   StatePort,
   Team,
   Then,
@@ -42,7 +42,7 @@
   | { k: 'cancelled'; job: string; n: number }
   | { k: 'images'; add: ImageFact[]; gone: string[] }
   | { k: 'owner'; to: string; m: OwnerMsg }
-  | { k: 'keeper'; to: string; m: KeeperMsg };
+  | { k: 'scheduler'; to: string; m: SchedulerMsg };
 export interface MeshMsg {
   host: string;
   inst: string;
@@ -109,14 +109,14 @@
 
 export type ReportAnswer =
   | { s: 'ok'; token: number; cmds: WorkerCommand[] }
-  | { s: 'other'; keeper: string | null }
+  | { s: 'other'; leader: string | null }
   | { s: 'later' };
 
-/** One process's state: its lease and parts, owner, keeper and door. All changes come through one queue. */
+/** One process's state: its lease, owner, scheduler and API. All changes come through one queue. */
 export class Controller {
-  readonly door: Door;
+  readonly api: Api;
   private readonly owner: Owner;
-  private keeper: Keeper | null = null;
+  private scheduler: Scheduler | null = null;
   private readonly sys: Mirror;
   private readonly open: Mirror;
   private readonly state: StatePort;
@@ -131,7 +131,7 @@
   private electing = false;
   private noElectUntil = 0;
   private electAt = 0;
-  private parting = false;
+  private assigning = false;
   private rebalanceAt = 0;
   private ledToken = 0;
   private ledAt = 0;
@@ -173,12 +173,12 @@
       state: this.state,
       clock: o.clock,
       log: o.log,
-      send: (m) => this.toKeeper(m),
+      send: (m) => this.toScheduler(m),
       wake: () => this.wake(),
     });
     this.cloud = cloud;
     this.sys = new Mirror('sys/', 10000, 0, this.state, o.clock, (key) => this.sysChanged(key));
-    // Followed while this controller owns a team; a door alone catches up when it is asked.
+    // Followed while this controller owns a team; the API alone catches up when it is asked.
     this.open = new Mirror(
       'open/',
       10000,
@@ -192,7 +192,7 @@
       },
       false,
     );
-    this.door = new Door(
+    this.api = new Api(
       this.state,
       this.open,
       this.teams,
@@ -232,7 +232,7 @@
     this.scheduled = false;
     for (const c of this.queue.splice(0)) this.handle(c);
     this.owner.flush();
-    this.keeper?.flush();
+    this.scheduler?.flush();
   }
 
   private handle(c: Command): void {
@@ -290,12 +290,12 @@
     this.keepLease(now);
     this.elect(now);
     this.giveUp(now);
-    this.part(now);
+    this.assignTeams(now);
     this.learnTypes(now);
-    this.keeper?.tick();
+    this.scheduler?.tick();
     const cover = this.keepCover(now);
     const news = this.images.news();
-    if (this.keeper && news.add.length + news.gone.length > 0)
+    if (this.scheduler && news.add.length + news.gone.length > 0)
       for (const p of this.o.peers) this.meshSend(p, { k: 'images', ...news });
     const strays = [...this.strays].slice(0, MOST_STRAYS);
     this.strays.clear();
@@ -315,7 +315,7 @@
 
   /** The leader marks a moment for its owners, and takes down what is covered for whoever leads next. */
   private keepCover(now: number): { at: number; pending: string[] } | null {
-    const k = this.keeper;
+    const k = this.scheduler;
     if (!k) return null;
     for (const inst of new Set([...this.teamRecords().values()].map((r) => r.inst)))
       this.toOwner(inst, { k: 'mark', token: k.token, at: now });
@@ -350,7 +350,7 @@
    */
   private tellCancelled(job: string): void {
     if (!this.told.here(job)) return;
-    this.keeper?.cancelled(job);
+    this.scheduler?.cancelled(job);
     for (const p of this.o.peers) this.meshSend(p, { k: 'cancelled', job, n: this.told.n });
   }
 
@@ -376,8 +376,8 @@
   private learnTypes(now: number): void {
     if (this.typesBusy || now - this.typesAt < (this.types.length > 0 ? 30000 : 1500)) return;
     // The leader asks the cloud and stores the answer; the others read it there, also while the cloud is down.
-    if (!this.keeper && this.types.length > 0) return;
-    if (!this.keeper && now - this.stateOkAt > 1e5) return;
+    if (!this.scheduler && this.types.length > 0) return;
+    if (!this.scheduler && now - this.stateOkAt > 1e5) return;
     this.typesBusy = true;
     this.typesAt = now;
     this.cloud.types((r) => {
@@ -386,7 +386,7 @@
       const text = JSON.stringify(r.value.map((t) => ({ ...t, price: 0, spotPrice: 0 })));
       const old = JSON.stringify(this.types.map((t) => ({ ...t, price: 0, spotPrice: 0 })));
       this.types = r.value;
-      if (this.keeper && (text !== old || !this.sys.items.has('sys/types')))
+      if (this.scheduler && (text !== old || !this.sys.items.has('sys/types')))
         this.state.txn(
           {
             when: [{ key: 'sys/leader', version: this.leaderMark }],
@@ -489,13 +489,13 @@
   }
 
   private lead(rec: LeaderRecord, mark: number, why: string): void {
-    if (this.keeper && this.keeper.token >= rec.token) return;
+    if (this.scheduler && this.scheduler.token >= rec.token) return;
     if (rec.token < this.leader.token || rec.token <= this.ledToken) return;
     this.ledToken = rec.token;
     this.ledAt = this.o.clock.now();
     this.leaderMark = mark;
     this.o.log.info({ token: rec.token, why }, 'leading');
-    this.keeper = new Keeper({
+    this.scheduler = new Scheduler({
       inst: this.o.inst,
       token: rec.token,
       teams: this.teams,
@@ -513,11 +513,11 @@
       },
       types: () => this.types,
       policy: this.o.policy,
-      entitled: () => this.keeper?.token === rec.token && this.o.clock.now() - this.leaseAt < this.o.ttlMs,
+      entitled: () => this.scheduler?.token === rec.token && this.o.clock.now() - this.leaseAt < this.o.ttlMs,
       send: (inst, m) => this.toOwner(inst, m),
       wake: () => this.wake(),
       deposed: (token) => {
-        if (this.keeper?.token === rec.token) this.stepDown(`token ${token} seen`);
+        if (this.scheduler?.token === rec.token) this.stepDown(`token ${token} seen`);
       },
       inherited: () => this.inherited,
       isCancelled: (job) => this.told.has(job),
@@ -527,22 +527,22 @@
       raise: (reason) => this.raise(rec.token, reason),
     });
     this.setLeader(rec);
-    this.keeper.setOwners(this.teamRecords());
-    this.part(this.o.clock.now());
+    this.scheduler.setOwners(this.teamRecords());
+    this.assignTeams(this.o.clock.now());
     this.rebalanceAt = this.ledAt + 5000;
     this.typesAt = Number.NEGATIVE_INFINITY;
     this.learnTypes(this.o.clock.now());
   }
 
   private stepDown(why: string): void {
-    if (!this.keeper) return;
-    this.o.log.info({ token: this.keeper.token, why }, 'no longer leading');
-    this.keeper = null;
+    if (!this.scheduler) return;
+    this.o.log.info({ token: this.scheduler.token, why }, 'no longer leading');
+    this.scheduler = null;
     if (this.leader.inst === this.o.inst) this.leader = { ...this.leader, host: '' };
   }
 
   private resign(token: number, why: string): void {
-    if (this.keeper?.token !== token) return;
+    if (this.scheduler?.token !== token) return;
     const mark = this.leaderMark;
     this.noElectUntil = this.o.clock.now() + 20000;
     this.stepDown(why);
@@ -559,7 +559,7 @@
    */
   private giveUp(now: number): void {
     const it = this.sys.items.get('sys/leader');
-    if (!it || this.keeper || this.electing || this.givingUp || now < this.giveUpAt) return;
+    if (!it || this.scheduler || this.electing || this.givingUp || now < this.giveUpAt) return;
     const rec = it.value as LeaderRecord;
     if (rec.inst !== this.o.inst || rec.token > this.ledToken) return;
     this.giveUpAt = now + 1000;
@@ -575,7 +575,7 @@
 
   private raise(token: number, why: string): void {
     const now = this.o.clock.now();
-    if (this.keeper?.token !== token || this.electing || now < this.raiseAt) return;
+    if (this.scheduler?.token !== token || this.electing || now < this.raiseAt) return;
     this.raiseAt = now + 15000;
     this.campaign(this.leaderMark, why);
   }
@@ -583,7 +583,7 @@
   private setLeader(rec: LeaderRecord): void {
     if (rec.token < this.leader.token) return;
     this.leader = rec;
-    this.owner.setKeeper(rec.token);
+    this.owner.setScheduler(rec.token);
   }
 
   // ---- records under sys/ -----------------------------------------------------------------------------------
@@ -592,7 +592,7 @@
     if (key === 'sys/leader') {
       const it = this.sys.items.get(key);
       if (!it) {
-        if (this.keeper) this.stepDown('leader record gone');
+        if (this.scheduler) this.stepDown('leader record gone');
         this.electAt = this.o.clock.now() + this.o.clock.random() * 100;
         this.o.clock.after(110, () => this.push({ k: 'reply', run: () => this.elect(this.o.clock.now()) }));
         return;
@@ -602,7 +602,7 @@
         // An election whose answer was lost.
         if (this.lease !== 0) this.lead(rec, it.version, 'found elected');
       } else {
-        if (this.keeper && rec.token > this.keeper.token) this.stepDown('another leads');
+        if (this.scheduler && rec.token > this.scheduler.token) this.stepDown('another leads');
         this.setLeader(rec);
       }
     } else if (key.startsWith('sys/team/')) {
@@ -611,11 +611,11 @@
         if (r.inst === this.o.inst && this.teams.has(team)) mine.set(team, r.gen);
       this.owner.setTeams(mine);
       this.open.follow(mine.size > 0);
-      this.keeper?.setOwners(this.teamRecords());
-    } else if (key === 'sys/types' && !this.keeper) {
+      this.scheduler?.setOwners(this.teamRecords());
+    } else if (key === 'sys/types' && !this.scheduler) {
       const v = this.sys.items.get(key)?.value;
       if (Array.isArray(v)) this.types = v as MachineType[];
-    } else if (key.startsWith('sys/node/')) this.part(this.o.clock.now());
+    } else if (key.startsWith('sys/node/')) this.assignTeams(this.o.clock.now());
   }
 
   private teamRecords(): Map<string, { inst: string; gen: number }> {
@@ -634,10 +634,10 @@
     return out;
   }
 
-  /** The leader parts the teams among the controllers that are alive and that it can reach. */
-  private part(now: number): void {
-    const keeper = this.keeper;
-    if (!keeper || this.parting || !this.sys.ready || now - this.leaseAt > this.o.ttlMs) return;
+  /** The leader assigns the teams to the controllers that are alive and that it can reach. */
+  private assignTeams(now: number): void {
+    const scheduler = this.scheduler;
+    if (!scheduler || this.assigning || !this.sys.ready || now - this.leaseAt > this.o.ttlMs) return;
     const load = new Map<string, number>();
     for (const [inst, host] of this.nodes()) {
       const h = this.heard.get(host);
@@ -663,7 +663,7 @@
       load.set(inst, (load.get(inst) ?? 0) + 1);
     }
     if (moves.size === 0 && now >= this.rebalanceAt) {
-      this.rebalanceAt = now + keeper.policyNow.parting_s * 1000;
+      this.rebalanceAt = now + scheduler.policyNow.parting_s * 1000;
       const [to, few] = least();
       const [from, many] = [...load].sort((a, b) => b[1] - a[1])[0]!;
       const team = [...records].find(([t, r]) => r.inst === from && this.teams.has(t))?.[0];
@@ -671,8 +671,8 @@
     }
     if (moves.size === 0) return;
     const batch = [...moves].slice(0, this.o.state.txnOps);
-    for (const [team] of batch) keeper.suspend(team);
-    this.parting = true;
+    for (const [team] of batch) scheduler.suspend(team);
+    this.assigning = true;
     this.state.txn(
       {
         when: [
@@ -683,9 +683,9 @@
       },
       0,
       (r) => {
-        this.parting = false;
-        this.o.log.debug({ teams: Object.fromEntries(batch), ok: r.ok }, 'teams parted');
-        if (!r.ok) for (const rec of records.values()) keeper.unsync(rec.inst);
+        this.assigning = false;
+        this.o.log.debug({ teams: Object.fromEntries(batch), ok: r.ok }, 'teams assigned');
+        if (!r.ok) for (const rec of records.values()) scheduler.unsync(rec.inst);
       },
     );
   }
@@ -698,7 +698,7 @@
     if (now < (this.deafUntil.get(inst) ?? 0)) return true;
     if (now - this.stateOkAt > 1000 || now - this.ledAt < DEAF_MS) return false;
     for (const [team, r] of this.teamRecords())
-      if (r.inst === inst && this.teams.has(team) && this.keeper!.unheardFor(team, now) > DEAF_MS) {
+      if (r.inst === inst && this.teams.has(team) && this.scheduler!.unheardFor(team, now) > DEAF_MS) {
         this.o.log.info({ inst, team }, 'owner tells of no cancellations');
         this.deafUntil.set(inst, now + DEAF_PAUSE_MS);
         return true;
@@ -712,16 +712,16 @@
     this.o.mesh.send(host, { host: this.o.host, inst: this.o.inst, seq: ++this.seq, body });
   }
 
-  private toKeeper(m: OwnerMsg): void {
-    if (this.leader.inst === this.o.inst) this.push({ k: 'reply', run: () => this.keeper?.fromOwner(m) });
+  private toScheduler(m: OwnerMsg): void {
+    if (this.leader.inst === this.o.inst) this.push({ k: 'reply', run: () => this.scheduler?.fromOwner(m) });
     else if (this.leader.host !== '')
       this.meshSend(this.leader.host, { k: 'owner', to: this.leader.inst, m });
   }
 
-  private toOwner(inst: string, m: KeeperMsg): void {
-    if (inst === this.o.inst) return this.push({ k: 'reply', run: () => this.owner.fromKeeper(m) });
+  private toOwner(inst: string, m: SchedulerMsg): void {
+    if (inst === this.o.inst) return this.push({ k: 'reply', run: () => this.owner.fromScheduler(m) });
     const host = this.nodes().get(inst);
-    if (host) this.meshSend(host, { k: 'keeper', to: inst, m });
+    if (host) this.meshSend(host, { k: 'scheduler', to: inst, m });
   }
 
   private fromMesh(m: MeshMsg): void {
@@ -739,8 +739,8 @@
         if (
           m.body.token > this.leader.token &&
           m.body.leader !== this.o.host &&
-          this.keeper &&
-          m.body.token > this.keeper.token
+          this.scheduler &&
+          m.body.token > this.scheduler.token
         )
           this.stepDown('a sibling knows a later leader');
         marks.add(m.body.mark, now);
@@ -756,26 +756,26 @@
           const pending = m.body.cover.pending;
           this.inherit({ at: Math.min(now, m.body.cover.mark), pending: pending && new Set(pending) });
         }
-        this.keeper?.strayed(m.body.strays);
+        this.scheduler?.strayed(m.body.strays);
         if (m.body.token > this.hint.token) this.hint = { host: m.body.leader, token: m.body.token };
         return;
       case 'images':
-        if (!this.keeper) this.images.take(m.body.add, m.body.gone);
+        if (!this.scheduler) this.images.take(m.body.add, m.body.gone);
         return;
       case 'cancelled':
         this.told.there(m.host, m.inst, m.body.job, m.body.n, now);
-        this.keeper?.cancelled(m.body.job);
+        this.scheduler?.cancelled(m.body.job);
         return;
       case 'owner':
-        if (m.body.to === this.o.inst) this.keeper?.fromOwner(m.body.m);
+        if (m.body.to === this.o.inst) this.scheduler?.fromOwner(m.body.m);
         return;
-      case 'keeper':
-        if (m.body.to === this.o.inst) this.owner.fromKeeper(m.body.m);
+      case 'scheduler':
+        if (m.body.to === this.o.inst) this.owner.fromScheduler(m.body.m);
         return;
     }
   }
 
-  /** The keeper's knowledge of images, for whoever leads next. */
+  /** The scheduler's knowledge of images, for whoever leads next. */
   private readonly images = new ImageFacts();
   private hint = { host: '', token: 0 };
   /** Machines that asked here, and not the leader, since it was last told. */
@@ -785,8 +785,8 @@
   private link(host: string, up: boolean): void {
     if (!up) return;
     if (this.leader.host === host) this.owner.resync();
-    if (!this.keeper) return;
-    for (const [inst, h] of this.nodes()) if (h === host) this.keeper.unsync(inst);
+    if (!this.scheduler) return;
+    for (const [inst, h] of this.nodes()) if (h === host) this.scheduler.unsync(inst);
     const all = this.images.all();
     for (let i = 0; i < all.length; i += IMAGES_PART)
       this.meshSend(host, { k: 'images', add: all.slice(i, i + IMAGES_PART), gone: [] });
@@ -796,12 +796,12 @@
 
   report(r: WorkerReport): ReportAnswer {
     const now = this.o.clock.now();
-    const k = this.keeper;
+    const k = this.scheduler;
     if (!k) {
       if (this.standsIn(r, now)) return { s: 'ok', token: this.leader.token, cmds: [] };
       this.strays.add(r.machine);
       const known = this.hint.token > this.leader.token ? this.hint.host : this.leader.host;
-      return { s: 'other', keeper: known !== '' && known !== this.o.host ? known : null };
+      return { s: 'other', leader: known !== '' && known !== this.o.host ? known : null };
     }
     const cmds = k.report(r);
     if (cmds === null) return this.report(r);
@@ -828,7 +828,7 @@
   status(): Record<string, unknown> {
     return {
       leader: this.leader,
-      keeper: this.keeper?.stats() ?? null,
+      scheduler: this.scheduler?.stats() ?? null,
       teams: this.owner.ownedTeams,
       owner: this.owner.stats(),
       types: this.types.length,
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,5 +1,5 @@
 import { AIM_MARGIN, Capacity, cheapest, type PriceInput, planRentals, type Rental } from './autoscale.js';
-import type { KeeperOptions, Ledger } from './ledger.js';
+import type { Ledger, SchedulerOptions } from './ledger.js';
 import { type Entry, type Machine, provenAt, takesRoom } from './machine.js';
 import { allowed, emptyRoom, fill, fits, type Room, slots } from './room.js';
 import type { Want } from './types.js';
@@ -32,7 +32,7 @@
   readonly rescue = new Map<string, Want[]>();
 
   constructor(
-    private readonly o: KeeperOptions,
+    private readonly o: SchedulerOptions,
     private readonly l: Ledger,
     private readonly remove: (m: Machine, why: string) => void,
   ) {}
@@ -166,7 +166,7 @@
     // As long as work is short of places, ordinary machines that are there are used, and not left to run empty.
     if (short.some((x) => !x.want.service && x.want.spot)) this.l.shortUntil = now + SHORT_MS;
     const need = [...short, ...rescued, ...phantom, ...this.cheaper(now)];
-    // A new keeper lets the list, the reports and the owners speak first.
+    // A new scheduler lets the list, the reports and the owners speak first.
     const settled = this.o.first || (this.l.listed && now - this.l.startedAt > this.o.listLagS * 1000);
     if (need.length > 0 && settled && this.l.allSynced()) {
       const plan = planRentals({
@@ -281,7 +281,7 @@
       const t = this.l.types.get(m.type);
       if (!m.up) {
         const patience = (t?.bootS ?? 30) * 1000 * this.l.policyNow.boot_patience;
-        // Up under an earlier keeper and not heard by this one: behind a cut, or on its way here.
+        // Up under an earlier scheduler and not heard by this one: behind a cut, or on its way here.
         if (m.listedUp && now - m.heardAt < this.o.workers.leaseS * 1000) continue;
         if (
           now - m.rentedAt > patience &&
--- a/src/core/images.ts
+++ b/src/core/images.ts
@@ -2,8 +2,8 @@
 export type ImageFact = [string, string, number];
 
 /**
- * Which machines hold which images, as far as tasks that ran there tell. The keeper learns it and tells its siblings,
- * so that the next keeper need not learn it again. Only the choice of machines rests on it: it may be wrong or old.
+ * Which machines hold which images, as far as tasks that ran there tell. The scheduler learns it and tells its siblings,
+ * so that the next scheduler need not learn it again. Only the choice of machines rests on it: it may be wrong or old.
  */
 export class ImageFacts {
   private readonly machines = new Map<string, Map<string, number>>();
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -7,16 +7,16 @@
   Clock,
   CloudPort,
   Held,
-  KeeperMsg,
   Logger,
   MachineType,
   Objective,
+  SchedulerMsg,
   Team,
   Want,
   WorkerPort,
 } from './types.js';
 
-export interface KeeperOptions {
+export interface SchedulerOptions {
   inst: string;
   token: number;
   teams: Map<string, Team>;
@@ -26,7 +26,7 @@
   cloudRps: number;
   images: ImageFacts;
   objectives: Objective[];
-  /** A first keeper ever finds no machines of an earlier one on their way. */
+  /** A first scheduler ever finds no machines of an earlier one on their way. */
   first: boolean;
   clock: Clock;
   log: Logger;
@@ -36,9 +36,9 @@
   policy(i: PolicyInput): Policy;
   /** Still known to be the leader: new starts, rentals and deletions are allowed. */
   entitled(): boolean;
-  send(inst: string, msg: KeeperMsg): void;
+  send(inst: string, msg: SchedulerMsg): void;
   wake(): void;
-  /** A higher token was seen: another keeper acts. */
+  /** A higher token was seen: another scheduler acts. */
   deposed(token: number): void;
   /** Siblings heard from a moment ago. */
   siblings(): number;
@@ -68,7 +68,7 @@
 }
 
 /**
- * What the keeper knows: machines, the entries on them, owners and what they want. Sums are kept by what changes, so
+ * What the scheduler knows: machines, the entries on them, owners and what they want. Sums are kept by what changes, so
  * that nothing costs by the size of the fleet that need not.
  */
 export class Ledger {
@@ -110,7 +110,7 @@
   listed = false;
   policyNow: Policy;
 
-  constructor(readonly o: KeeperOptions) {
+  constructor(readonly o: SchedulerOptions) {
     this.token = o.token;
     this.startedAt = o.clock.now();
     this.horizons = new Horizons([...o.teams.keys()]);
@@ -140,7 +140,7 @@
 
   /**
    * What services need, by image and by whether they must be spread: one kind must not hide the other, and a new
-   * keeper learns both from the replicas that run, not only from those that wait.
+   * scheduler learns both from the replicas that run, not only from those that wait.
    */
   learnShape(w: Want): void {
     const key = `${w.image}|${w.zoneRoom !== null}`;
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -1,7 +1,7 @@
 import type { Held, TaskReport, WorkerReport } from './types.js';
 import { taskKey } from './types.js';
 
-/** A placement as the keeper holds it: room taken on a machine, and what its worker should do. */
+/** A placement as the scheduler holds it: room taken on a machine, and what its worker should do. */
 export interface Entry extends Omit<Held, 'want'> {
   key: string;
   /** `hold`: granted, not yet told to be stored. */
@@ -14,7 +14,7 @@
   settled: boolean;
   told: string;
   since: number;
-  /** Since when it runs is known: this keeper saw it before it ran, or sent its start. */
+  /** Since when it runs is known: this scheduler saw it before it ran, or sent its start. */
   timed: boolean;
   /** When a stop was asked of its owner; 0: not. */
   evicting: number;
@@ -40,7 +40,7 @@
   /** Last asked a sibling, which sent it here. */
   strayAt: number;
   up: boolean;
-  /** Has shown this keeper's token: what it was heard to say is no late copy from before. */
+  /** Has shown this scheduler's token: what it was heard to say is no late copy from before. */
   confirmed: boolean;
   /** Signs in a row that what is told to this machine does not reach it, although it is heard; since when. */
   deaf: number;
@@ -57,7 +57,7 @@
   /** Starts sent directly without an answer, with the token they were sent under: they may still arrive. */
   doubt: Map<string, number>;
   doubtSince: number;
-  /** Attempts that this keeper started directly: a late repeat of the command would start them once more. */
+  /** Attempts that this scheduler started directly: a late repeat of the command would start them once more. */
   direct: Set<string>;
   images: Map<string, number>;
   removing: boolean;
@@ -73,7 +73,7 @@
   reserved: { job: string; rank: number; until: number } | null;
   runs: number;
   slow: number;
-  /** What its entries come to, kept by the keeper's `refresh`. */
+  /** What its entries come to, kept by the scheduler's `refresh`. */
   sum: Sum;
 }
 
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -15,10 +15,10 @@
   Grant,
   Held,
   JobSpec,
-  KeeperMsg,
   Logger,
   Objective,
   OwnerMsg,
+  SchedulerMsg,
   Seen,
   StateOp,
   StatePort,
@@ -106,7 +106,7 @@
 /** Most placements told in one message. */
 const SYNC_PART = 400;
 
-/** Holds the teams parted to this controller: release, queue, limits, one attempt per task, counters. */
+/** Holds the teams assigned to this controller: release, queue, limits, one attempt per task, counters. */
 export class Owner {
   private readonly jobs = new Map<string, Job>();
   private readonly teams = new Map<string, { gen: number; loaded: boolean; loading: boolean }>();
@@ -116,7 +116,7 @@
   private readonly dirty = new Set<Job>();
   private flushTimer = 0;
   private wantsAt = 0;
-  /** The newest grant taken in from this keeper. */
+  /** The newest grant taken in from this scheduler. */
   private lastGrant = 0;
   private syncs = 0;
   /** Messages with placements since the last sync. */
@@ -222,8 +222,8 @@
     return Math.min(5000, Math.max(1000, (this.dirty.size / (this.o.writeRps * 0.2)) * 1000));
   }
 
-  /** A keeper with a higher token is heeded from now on; one with a lower token never again. */
-  setKeeper(token: number): void {
+  /** A scheduler with a higher token is heeded from now on; one with a lower token never again. */
+  setScheduler(token: number): void {
     if (token <= this.token) return;
     this.token = token;
     this.marks.clear();
@@ -432,9 +432,9 @@
     this.o.wake();
   }
 
-  // ---- keeper ---------------------------------------------------------------------------------
+  // ---- scheduler ---------------------------------------------------------------------------------
 
-  fromKeeper(m: KeeperMsg): void {
+  fromScheduler(m: SchedulerMsg): void {
     if (m.token !== this.token) return;
     switch (m.k) {
       case 'synced':
@@ -548,7 +548,7 @@
     const j = this.jobs.get(s.job);
     const p = j?.placed.get(s.idx);
     if (!j || !p || p.attempt !== s.attempt || p.machine !== s.machine || !p.stored) {
-      // Told again after its outcome was stored: the reap was lost with an earlier keeper.
+      // Told again after its outcome was stored: the reap was lost with an earlier scheduler.
       if (s.s === 'phase' && s.phase === 'exited' && !j?.reloading) this.reapStored(j, s);
       return;
     }
@@ -717,14 +717,14 @@
         for (const p of j.placed.values())
           if (p.stored) held.push(this.held(j, p.idx, p.attempt, p.machine, p.season, p.want, 0, 0));
         for (const r of j.toReap) {
-          // Settled but not yet stored so: still ours, or the keeper would reap what nobody claims.
+          // Settled but not yet stored so: still ours, or the scheduler would reap what nobody claims.
           if (r.listed) held.push(this.held(j, r.p.idx, r.p.attempt, r.p.machine, r.p.season, 'keep', 0, 0));
         }
       }
       const gens = this.gens();
       this.synced = false;
       this.heldSent = 0;
-      // In parts, so that no message is large; the keeper takes them as one when it has the last.
+      // In parts, so that no message is large; the scheduler takes them as one when it has the last.
       const sync = ++this.syncs;
       const parts = Math.max(1, Math.ceil(held.length / SYNC_PART));
       for (let i = 0; i < parts; i++)
@@ -777,7 +777,7 @@
     return gens;
   }
 
-  /** Grants of an earlier keeper are void; what was not yet sent to the state service goes back. */
+  /** Grants of an earlier scheduler are void; what was not yet sent to the state service goes back. */
   private dropNew(): void {
     for (const j of this.jobs.values()) {
       if (j.busy) continue;
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -1,5 +1,5 @@
 import { AIM_MARGIN } from './autoscale.js';
-import type { KeeperOptions, Ledger, WantRef } from './ledger.js';
+import type { Ledger, SchedulerOptions, WantRef } from './ledger.js';
 import { type Entry, type Machine, newEntry, provenAt, takesRoom } from './machine.js';
 import { allowed, emptyRoom, fill, fits, type Room, shapeKey, take } from './room.js';
 import type { Grant, Want } from './types.js';
@@ -30,7 +30,7 @@
   private readonly stops = new Map<string | null, Machine[]>();
 
   constructor(
-    private readonly o: KeeperOptions,
+    private readonly o: SchedulerOptions,
     private readonly l: Ledger,
   ) {
     for (const a of o.objectives) {
@@ -407,7 +407,7 @@
     let lower = false;
     for (let k = w.rank + 1; k < 4; k++) if (this.l.total.ranks[k]! > 0) lower = true;
     if (!lower && !inside) return 0;
-    // A pass with hundreds of replicas without room looked at every machine for each of them: half a keeper's time at
+    // A pass with hundreds of replicas without room looked at every machine for each of them: half a scheduler's time at
     // two thousand machines. What one want could not be made room for, others like it can't be either.
     const key = `${shapeKey(w)}|${inside}|${warmOnly ? w.image : ''}`;
     if (this.hopeless.has(key)) return 0;
--- a/src/core/keeper.ts
+++ b/src/core/scheduler.ts
@@ -1,5 +1,5 @@
 import { Fleet } from './fleet.js';
-import { type KeeperOptions, Ledger } from './ledger.js';
+import { Ledger, type SchedulerOptions } from './ledger.js';
 import { type Entry, isNewer, lingering, type Machine, newEntry, provenAt } from './machine.js';
 import { Placing } from './placing.js';
 import type { Policy } from './policy.js';
@@ -26,7 +26,7 @@
 const CUT_SHARE = 0.6;
 
 /** The elected leader's part: machines, reports, room. It stores nothing; owners and workers tell it all. */
-export class Keeper {
+export class Scheduler {
   private readonly l: Ledger;
   private readonly placing: Placing;
   private readonly fleet: Fleet;
@@ -46,7 +46,7 @@
   private suspectSince = 0;
   private readonly removeQueue = new Set<string>();
 
-  constructor(private readonly o: KeeperOptions) {
+  constructor(private readonly o: SchedulerOptions) {
     this.l = new Ledger(o);
     this.placing = new Placing(o, this.l);
     this.fleet = new Fleet(o, this.l, (m, why) => this.remove(m, why));
@@ -72,7 +72,7 @@
       if (cur && cur.inst === r.inst && cur.gen === r.gen) continue;
       this.l.owners.set(team, { inst: r.inst, gen: r.gen, synced: false, since: this.o.clock.now() });
       this.l.dropHolds([...this.l.grantAt.keys()].filter((id) => this.l.holdOf(id)?.team === team));
-      // Its owner may have learnt of the record, and told all it holds, before this keeper did.
+      // Its owner may have learnt of the record, and told all it holds, before this scheduler did.
       this.o.send(r.inst, { k: 'resync', token: this.l.token });
     }
   }
@@ -191,7 +191,7 @@
     }
     let e = m.entries.get(key);
     if (!e) {
-      // A reap of what this keeper never knew: only the worker's list matters.
+      // A reap of what this scheduler never knew: only the worker's list matters.
       e = newEntry(h, this.o.clock.now());
       m.entries.set(key, e);
       e.listed = m.tasks.get(key) ?? null;
@@ -394,8 +394,8 @@
       }
     } else if (t.why === 'done') {
       m.errors.delete(e.job);
-      // What ran before this keeper led looks much too fast: whoever was measured in full looked slow beside it, and
-      // a new keeper retired half its fleet (seen on rekrut-szkoly-fleet, apart).
+      // What ran before this scheduler led looks much too fast: whoever was measured in full looked slow beside it, and
+      // a new scheduler retired half its fleet (seen on rekrut-szkoly-fleet, apart).
       if (e.estimateS > 0 && e.timed) this.speed(m, (now - e.since) / 1000 / e.estimateS);
     }
   }
@@ -617,7 +617,7 @@
       }
       m.listedUp = l.phase === 'running';
       if (l.phase === 'failed') this.remove(m, 'failed');
-      // Our token ends whatever an earlier keeper has on its way, and makes the worker report.
+      // Our token ends whatever an earlier scheduler has on its way, and makes the worker report.
       if (!m.up && l.phase === 'running' && l.addr !== '' && now - m.probeAt > 2000) this.direct(m, true);
     }
     this.l.listed = true;
@@ -739,7 +739,7 @@
         zones.set(m.zone, zone);
       }
       zone.all++;
-      // Workers need some time to find a new keeper.
+      // Workers need some time to find a new scheduler.
       // One that is heard but does not hear counts as silent from when that began.
       // Reports alone renew leases: one that only answers is mute, and dies of its lease.
       const proven = provenAt(m);
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -124,7 +124,7 @@
   /** Machines on which this job failed lately. */
   avoid: string[];
   near: string;
-  /** So long it may still wait for places without putting its aim at risk: the keeper's reckoning; null: it has none. */
+  /** So long it may still wait for places without putting its aim at risk: the scheduler's reckoning; null: it has none. */
   patienceS: number | null;
   /** Its aim on being done, and what is left until then; null: none, or past it. */
   aimS: number | null;
@@ -133,7 +133,7 @@
   seen: number;
 }
 
-/** An unsettled placement as its owner tells it to the keeper. */
+/** An unsettled placement as its owner tells it to the scheduler. */
 export interface Held {
   job: string;
   idx: number;
@@ -175,7 +175,7 @@
   season: number;
 }
 
-/** Owner to keeper. `gens` names the version of each team record the sender acts under. */
+/** Owner to scheduler. `gens` names the version of each team record the sender acts under. */
 export type OwnerMsg =
   | {
       k: 'sync';
@@ -203,7 +203,7 @@
       mark: number;
     };
 
-/** What became of placements, as the keeper saw it. */
+/** What became of placements, as the scheduler saw it. */
 export type Seen =
   | {
       s: 'phase';
@@ -217,7 +217,7 @@
     }
   | { s: 'settled'; job: string; idx: number; attempt: number; machine: string };
 
-export type KeeperMsg =
+export type SchedulerMsg =
   | { k: 'synced'; token: number }
   | { k: 'resync'; token: number }
   | { k: 'grants'; token: number; grants: Grant[] }
--- a/src/io/http.ts
+++ b/src/io/http.ts
@@ -1,15 +1,15 @@
 import { type Context, Hono } from 'hono';
+import type { ApiAnswer } from '../core/api.js';
 import type { Controller } from '../core/controller.js';
-import type { DoorAnswer } from '../core/door.js';
 import { ProgressLimit } from '../core/limits.js';
 import type { Clock, Logger } from '../core/types.js';
 import { isJobId, readJob, writeState } from '../wire/jobs.js';
 import { isObj, parse, str } from '../wire/json.js';
-import { readReport, writeAnswer } from '../wire/worker.js';
+import { readReport, writeAnswer, writeRedirect } from '../wire/worker.js';
 import { type Answer, HttpServer, type Serve } from './server.js';
 import type { Sockets } from './sockets.js';
 
-/** Workers of a whole fleet come at once when a keeper is new. */
+/** Workers of a whole fleet come at once when a scheduler is new. */
 const BACKLOG = 2048;
 
 /** Spread, or all that were refused together would come back together. */
@@ -24,7 +24,7 @@
   return c.json({ error: reason }, 503);
 }
 
-function answer(c: Context, ctl: Controller, id: string, a: DoorAnswer): Response {
+function answer(c: Context, ctl: Controller, id: string, a: ApiAnswer): Response {
   switch (a.s) {
     case 'job':
       return c.json(writeState(id, a), a.created ? 201 : 200);
@@ -47,8 +47,7 @@
   }
   const a = ctl.report(r);
   if (a.s === 'ok') return { status: 200, body: JSON.stringify(writeAnswer(a.token, a.cmds)) };
-  if (a.s === 'other')
-    return { status: 421, body: JSON.stringify(a.keeper === null ? {} : { keeper: a.keeper }) };
+  if (a.s === 'other') return { status: 421, body: JSON.stringify(writeRedirect(a.leader)) };
   return { status: 503, body: '{"error":"state service not reached"}', headers: { 'Retry-After': '1' } };
 }
 
@@ -73,12 +72,12 @@
     limited(c, async () => {
       const job = readJob(parse(await c.req.text()), clock.wall());
       if (job.ok)
-        return new Promise((done) => ctl.door.submit(job.spec, (a) => done(answer(c, ctl, job.spec.id, a))));
+        return new Promise((done) => ctl.api.submit(job.spec, (a) => done(answer(c, ctl, job.spec.id, a))));
       const id = job.id;
       if (id === null) return c.json({ error: job.reason }, 400);
       // The repeat of an accepted job is answered as one, whatever it holds.
       return new Promise((done) =>
-        ctl.door.poll(id, (a) =>
+        ctl.api.poll(id, (a) =>
           done(a.s === 'unknown' ? c.json({ error: job.reason }, 400) : answer(c, ctl, id, a)),
         ),
       );
@@ -88,14 +87,14 @@
     limited(c, () => {
       const id = c.req.param('id');
       if (!isJobId(id)) return Promise.resolve(c.json({ error: 'no such job' }, 404));
-      return new Promise((done) => ctl.door.poll(id, (a) => done(answer(c, ctl, id, a))));
+      return new Promise((done) => ctl.api.poll(id, (a) => done(answer(c, ctl, id, a))));
     }),
   );
   app.post('/v2/runs/:id/abort', (c) =>
     limited(c, () => {
       const id = c.req.param('id');
       if (!isJobId(id)) return Promise.resolve(c.json({ error: 'no such job' }, 404));
-      return new Promise((done) => ctl.door.abort(id, (a) => done(answer(c, ctl, id, a))));
+      return new Promise((done) => ctl.api.abort(id, (a) => done(answer(c, ctl, id, a))));
     }),
   );
   app.get('/ready', (c) => (ctl.ready() ? c.json({ ready: true }) : later(c, 'not ready')));
--- a/src/io/mesh.ts
+++ b/src/io/mesh.ts
@@ -79,7 +79,7 @@
   if (b.k === 'cancelled') return typeof b.job === 'string' && typeof b.n === 'number';
   if (b.k === 'images') return isFacts(b.add) && isNames(b.gone);
   return (
-    (b.k === 'owner' || b.k === 'keeper') &&
+    (b.k === 'owner' || b.k === 'scheduler') &&
     typeof b.to === 'string' &&
     typeof b.m === 'object' &&
     b.m !== null
--- a/src/io/server.ts
+++ b/src/io/server.ts
@@ -37,7 +37,7 @@
 }
 
 /**
- * HTTP/1.1 on Node's `net`. A keeper of a thousand machines answers some three hundred reports a second on a third of a
+ * HTTP/1.1 on Node's `net`. A scheduler of a thousand machines answers some three hundred reports a second on a third of a
  * core; Node's own server took several times what reading and answering them takes.
  */
 export class HttpServer {
--- a/src/io/workers.ts
+++ b/src/io/workers.ts
@@ -21,7 +21,7 @@
 }
 
 /**
- * Direct commands to workers over a bounded number of connections, one to a worker. A keeper of two thousand machines
+ * Direct commands to workers over a bounded number of connections, one to a worker. A scheduler of two thousand machines
  * that kept a connection to each had no sockets left for their reports. Beyond the bound the one longest unused is
  * closed; when all are in use, calls that carry commands go before questions alone.
  */
--- a/src/wire/jobs.ts
+++ b/src/wire/jobs.ts
@@ -1,4 +1,4 @@
-import type { DoorAnswer } from '../core/door.js';
+import type { ApiAnswer } from '../core/api.js';
 import type { JobSpec, Rank, Shape } from '../core/types.js';
 import { count, isObj, num, str } from './json.js';
 
@@ -108,6 +108,6 @@
   };
 }
 
-export function writeState(id: string, a: Extract<DoorAnswer, { s: 'job' }>): Record<string, unknown> {
+export function writeState(id: string, a: Extract<ApiAnswer, { s: 'job' }>): Record<string, unknown> {
   return { name_id: id, phase: STATES[a.state], done: a.done, running: a.running };
 }
--- a/src/wire/worker.ts
+++ b/src/wire/worker.ts
@@ -78,3 +78,8 @@
 export function writeDirect(token: number, season: number, cmds: WorkerCommand[]): Record<string, unknown> {
   return { crook: token, season, calls: cmds.map(writeCommand) };
 }
+
+/** To a worker that asked another controller than the leader: where to go, if that is known. */
+export function writeRedirect(leader: string | null): Record<string, string> {
+  return leader === null ? {} : { keeper: leader };
+}
--- a/test/cancellation.test.ts
+++ b/test/cancellation.test.ts
@@ -4,11 +4,11 @@
 import { Told } from '../src/core/told.js';
 import type { OwnerMsg, StatePort } from '../src/core/types.js';
 import { job } from './standin/day.js';
-import { keeper, listed } from './standin/keeper.js';
+import { listed, scheduler } from './standin/scheduler.js';
 import type { WorkerStandin } from './standin/worker.js';
 import { World } from './standin/world.js';
 
-const leads = (w: World, h: string) => w.procs.get(h)?.ctl.status().keeper !== null;
+const leads = (w: World, h: string) => w.procs.get(h)?.ctl.status().scheduler !== null;
 const leaderOf = (w: World) => w.hosts.find((h) => leads(w, h))!;
 
 /** A world with one long array of each team running on machines that stay. */
@@ -31,7 +31,7 @@
 function cancelAt(w: World, host: string, id: string): void {
   const j = w.jobs.get(id)!;
   j.askedCancel = true;
-  w.procs.get(host)!.ctl.door.abort(id, (a) => {
+  w.procs.get(host)!.ctl.api.abort(id, (a) => {
     if (a.s === 'job' && a.state === 'cancelled') j.cancelledAt ??= w.sim.now;
   });
 }
@@ -198,17 +198,17 @@
   };
   const stored = { key: 'open/wk-1/a', value: { j: spec }, version: 3 };
   const placed = { key: 'place/wk-1/0', value: { t: { 0: [1, 'm', 1, 'a'] } }, version: 4 };
-  owner.setKeeper(5);
+  owner.setScheduler(5);
   owner.setTeams(new Map([['red', 1]]));
   owner.flush();
   read('open/', [stored]);
   read('place/', [placed]);
   owner.flush();
-  owner.fromKeeper({ k: 'synced', token: 5 });
+  owner.fromScheduler({ k: 'synced', token: 5 });
   owner.openChanged('wk-1', 'n', { n: 1, r: 0, b: '1.1' }, 6);
   expect(lists.length).toBe(1);
   owner.openChanged('wk-1', 'a', { j: spec, o: 3, x: 1 }, 7);
-  owner.fromKeeper({ k: 'mark', token: 5, at: 1 });
+  owner.fromScheduler({ k: 'mark', token: 5, at: 1 });
   now = 10;
   owner.flush();
   const stops = sent.flatMap((m) => (m.k === 'held' ? m.held : [])).map((h) => h.want);
@@ -224,7 +224,7 @@
 });
 
 test('a lease is renewed only as long as the owners of what runs there have lately read of cancellations', () => {
-  const t = keeper(5);
+  const t = scheduler(5);
   const w = windowMs({ leaseS: 20, cancelS: 40 });
   t.report([]);
   t.tell('run');
@@ -246,7 +246,7 @@
 });
 
 test('a lost message with a stop holds the horizon back, and all is asked for again', () => {
-  const t = keeper(5);
+  const t = scheduler(5);
   t.report([]);
   t.tell('run');
   t.report([listed('running')]);
--- a/test/delays.test.ts
+++ b/test/delays.test.ts
@@ -1,11 +1,11 @@
 import { expect, test } from 'vitest';
 import { Mirror } from '../src/core/mirror.js';
 import type { Clock, StateEvent, StatePort, Then } from '../src/core/types.js';
-import { keeper, listed, makeWant } from './standin/keeper.js';
+import { listed, makeWant, scheduler } from './standin/scheduler.js';
 import { World } from './standin/world.js';
 
 test('a machine that is heard but does not hear is given nothing, then deleted, and one that hears is kept', () => {
-  const t = keeper(5);
+  const t = scheduler(5);
   t.report([]);
   t.tell('run');
   for (const c of t.calls.splice(0)) c.cb({ ok: false, kind: 'refused' });
@@ -25,7 +25,7 @@
   }
   expect(t.removed).toEqual(['m']);
 
-  const u = keeper(5);
+  const u = scheduler(5);
   for (let i = 0; i < 90; i++) {
     u.report([listed('running')]);
     u.later(1000);
@@ -34,7 +34,7 @@
 });
 
 test('late copies prove no life, take nothing back and settle nothing', () => {
-  const t = keeper(5);
+  const t = scheduler(5);
   t.report([]);
   t.report([]);
   t.tell('run');
@@ -56,8 +56,8 @@
   expect(t.removed).toEqual(['m']);
 });
 
-test('a copy from before its election is no ground for a new keeper to place work', () => {
-  const t = keeper(5);
+test('a copy from before its election is no ground for a new scheduler to place work', () => {
+  const t = scheduler(5);
   t.wants([makeWant('wk-2')]);
   t.report([], 4);
   expect(t.grants()).toEqual([]);
@@ -138,7 +138,7 @@
 test('a leader whose resignation was lost does not keep others from being elected', () => {
   const w = new World(5);
   w.sim.run(5000);
-  const leads = (h: string) => w.procs.get(h)!.ctl.status().keeper !== null;
+  const leads = (h: string) => w.procs.get(h)!.ctl.status().scheduler !== null;
   const host = w.hosts.find(leads)!;
   const ctl = w.procs.get(host)!.ctl as unknown as {
     ledToken: number;
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -1,11 +1,11 @@
 import { expect, test } from 'vitest';
-import { keeper, listed, makeWant } from './standin/keeper.js';
+import { listed, makeWant, scheduler } from './standin/scheduler.js';
 import { World } from './standin/world.js';
 
-type Keeper = ReturnType<typeof keeper>;
+type Scheduler = ReturnType<typeof scheduler>;
 
 /** Every machine of `names` reports, one second passes, and what was asked directly is not answered. */
-function second(t: Keeper, names: string[], over: (name: string) => object = () => ({})): void {
+function second(t: Scheduler, names: string[], over: (name: string) => object = () => ({})): void {
   for (const machine of names) t.report([], 5, { machine, addr: machine, ...over(machine) });
   t.later(1000);
   t.k.flush();
@@ -13,11 +13,11 @@
 }
 const names = (n: number, from = 0) => Array.from({ length: n }, (_, i) => `vm-${from + i}`);
 
-test('a new keeper takes no machine for slow because it saw others half way through their tasks', () => {
-  const t = keeper(5);
+test('a new scheduler takes no machine for slow because it saw others half way through their tasks', () => {
+  const t = scheduler(5);
   const all = names(30);
   const done = (id: string) => [{ ...listed('exited'), job: id }];
-  // Each runs a task that began before this keeper led: first seen running, ended a moment later.
+  // Each runs a task that began before this scheduler led: first seen running, ended a moment later.
   for (let round = 0; round < 5; round++) {
     for (const m of all) t.hold({ ...t.held('run'), job: `wk-${m}-${round}`, machine: m });
     for (const m of all)
@@ -34,8 +34,8 @@
   expect(retired.filter((m) => m.retired)).toEqual([]);
 });
 
-test('a keeper whose workers reach its siblings only resigns and deletes nothing', () => {
-  const t = keeper(5, { silent_s: 6, silent_share: 0.4, idle_s: 1e6 });
+test('a scheduler whose workers reach its siblings only resigns and deletes nothing', () => {
+  const t = scheduler(5, { silent_s: 6, silent_share: 0.4, idle_s: 1e6 });
   t.siblings.n = 2;
   const all = names(20);
   for (let i = 0; i < 30; i++) second(t, all);
@@ -50,7 +50,7 @@
 
 test('half the fleet silent: deleted when siblings bear it out, held back when nobody does', () => {
   for (const siblings of [2, 0]) {
-    const t = keeper(5, { silent_s: 6, silent_share: 0.4, idle_s: 1e6 });
+    const t = scheduler(5, { silent_s: 6, silent_share: 0.4, idle_s: 1e6 });
     t.siblings.n = siblings;
     t.rents.served = true;
     for (let i = 0; i < 30; i++) second(t, names(20));
@@ -62,7 +62,7 @@
 });
 
 test('a zone that is cut off is waited for while its replicas may live, and nothing is rented there', () => {
-  const t = keeper(5, { silent_s: 6, idle_s: 1e6 });
+  const t = scheduler(5, { silent_s: 6, idle_s: 1e6 });
   t.siblings.n = 1;
   t.rents.served = true;
   const near = names(8);
@@ -83,7 +83,7 @@
 test('a controller cut off with its zone keeps leases for the last leader, for a bounded time', () => {
   const w = new World(21);
   w.sim.run(25000);
-  const leads = (h: string) => w.procs.get(h)!.ctl.status().keeper !== null;
+  const leads = (h: string) => w.procs.get(h)!.ctl.status().scheduler !== null;
   const host = w.hosts.find((h) => !leads(h))!;
   const m = w.machine('small', 'a', false);
   w.cloudDown = true;
@@ -103,7 +103,7 @@
 
 test('what was started directly and then stopped stays listed: a late repeat of the command must not run it again', () => {
   const run = (why: 'stopped' | 'done') => {
-    const t = keeper(5, { idle_s: 1e6 });
+    const t = scheduler(5, { idle_s: 1e6 });
     t.report([]);
     t.tell('run');
     expect(t.calls[0]?.cmds[0]?.op).toBe('start');
@@ -126,7 +126,7 @@
 });
 
 test('a machine that lists nothing but what has ended is empty', () => {
-  const t = keeper(5, { idle_s: 10 });
+  const t = scheduler(5, { idle_s: 10 });
   t.report([]);
   t.tell('run');
   t.report([listed('running')]);
@@ -143,7 +143,7 @@
 });
 
 test('a machine that is back at once with a worker that knows nothing is deleted, not believed', () => {
-  const t = keeper(5, { idle_s: 1e6 });
+  const t = scheduler(5, { idle_s: 1e6 });
   for (let i = 0; i < 10; i++) t.report([]);
   t.tell('run');
   t.report([listed('running')]);
@@ -169,7 +169,7 @@
 });
 
 test('a pass looks at each machine once for wants of one kind, and a report at its own machine only', () => {
-  const t = keeper(5, { idle_s: 1e6 });
+  const t = scheduler(5, { idle_s: 1e6 });
   const all = names(1900);
   for (const m of all) {
     t.hold({ ...t.held('run'), job: `wk-${m}`, machine: m });
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -1,13 +1,13 @@
 import { expect, test } from 'vitest';
 import type { JobSpec } from '../src/core/types.js';
 import { job } from './standin/day.js';
-import { keeper, listed, makeWant } from './standin/keeper.js';
+import { listed, makeWant, scheduler } from './standin/scheduler.js';
 import type { WorkerStandin } from './standin/worker.js';
 import { World } from './standin/world.js';
 
 // One test for each meeting of troubles in docs/meetings.md; the stand-ins check the rules after each step.
 
-const leads = (w: World, h: string) => w.procs.get(h)?.ctl.status().keeper !== null;
+const leads = (w: World, h: string) => w.procs.get(h)?.ctl.status().scheduler !== null;
 const leaderOf = (w: World) => w.hosts.find((h) => leads(w, h)) ?? '';
 const others = (w: World, h: string) => w.hosts.filter((x) => x !== h);
 const on = (w: World, id: string): WorkerStandin[] =>
@@ -235,7 +235,7 @@
     until(w, 10000, () => w.hosts.some((h) => h !== l && leads(w, h)));
     const j = w.jobs.get(ids[0]!)!;
     j.askedCancel = true;
-    w.procs.get(w.hosts.find((h) => h !== l && leads(w, h))!)!.ctl.door.abort(ids[0]!, (a) => {
+    w.procs.get(w.hosts.find((h) => h !== l && leads(w, h))!)!.ctl.api.abort(ids[0]!, (a) => {
       if (a.s === 'job' && a.state === 'cancelled') j.cancelledAt = w.sim.now;
     });
     w.sim.run(w.sim.now + 500);
@@ -258,7 +258,7 @@
 });
 
 test('a mute machine gets nothing new, keeps what it has as long as that lives, and is returned after its lease', () => {
-  const t = keeper(5, { silent_s: 6, idle_s: 1e6 });
+  const t = scheduler(5, { silent_s: 6, idle_s: 1e6 });
   t.report([]);
   t.tell('run');
   for (const c of t.calls.splice(0)) c.cb({ ok: false, kind: 'refused' });
--- a/test/placing.test.ts
+++ b/test/placing.test.ts
@@ -2,12 +2,12 @@
 import { Capacity, planRentals } from '../src/core/autoscale.js';
 import { ImageFacts } from '../src/core/images.js';
 import { job } from './standin/day.js';
-import { keeper, listed, makeWant } from './standin/keeper.js';
+import { listed, makeWant, scheduler } from './standin/scheduler.js';
 import { SHAPE } from './standin/shape.js';
 import { World } from './standin/world.js';
 
 test('a guarantee claims no more than what another team has beyond its own', () => {
-  const t = keeper(5);
+  const t = scheduler(5);
   // Blue (8 guaranteed) runs 9 CPUs: only one of them may be stopped, and one is not enough.
   t.report([], 5, { machine: 'n', addr: 'n', type: 'big', spot: true });
   t.report([]);
@@ -86,7 +86,7 @@
 }, 60000);
 
 test('work does not wait for machines that are overdue', () => {
-  const t = keeper(5);
+  const t = scheduler(5);
   t.rents.served = true;
   t.wants([makeWant('wk-1', { service: true, rank: 0, spot: false, cpus: 4, count: 1 })]);
   const run = (seconds: number) => {
@@ -101,7 +101,7 @@
   expect(t.rents.n).toBeGreaterThan(1);
 });
 
-test('what one keeper learnt of images the next one knows', () => {
+test('what one scheduler learnt of images the next one knows', () => {
   const a = new ImageFacts();
   a.learn('m', 'i', 1);
   a.learn('m', 'i', 1);
@@ -115,7 +115,7 @@
 });
 
 test('a machine kept for the image of a service is the reserve as well', () => {
-  const t = keeper(5, { reserve_replicas: 1, idle_s: 10 });
+  const t = scheduler(5, { reserve_replicas: 1, idle_s: 10 });
   const n = { machine: 'n', addr: 'n' };
   const replica = { ...t.held('run'), rank: 0 as const, service: true, machine: 'n' };
   t.report([], 5, n);
@@ -134,7 +134,7 @@
 });
 
 test('room kept for urgent work is given to lower work that found none for long', () => {
-  const t = keeper(5, { reserve_batch: 4, idle_s: 1e6 }, [{ kind: 'wait', cls: 'u', withinS: 1 }]);
+  const t = scheduler(5, { reserve_batch: 4, idle_s: 1e6 }, [{ kind: 'wait', cls: 'u', withinS: 1 }]);
   t.report([]);
   t.wants([makeWant('wk-u', { cls: 'u', rank: 1, cpus: 4 })]);
   t.grants();
@@ -155,7 +155,7 @@
 });
 
 test('a machine that lists an ended attempt of a job is not given the next; a higher token is taken if only such are left', () => {
-  const t = keeper(5, { idle_s: 1e6 });
+  const t = scheduler(5, { idle_s: 1e6 });
   t.report([]);
   const ended = { ...listed('exited'), why: 'stopped' as const };
   t.report([ended]);
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest';
 import type { Want, WorkerReport } from '../src/core/types.js';
 import { job } from './standin/day.js';
-import { keeper, listed, makeWant } from './standin/keeper.js';
+import { listed, makeWant, scheduler } from './standin/scheduler.js';
 import { World } from './standin/world.js';
 
 test('the checker sees each kind of broken rule', () => {
@@ -73,7 +73,7 @@
 });
 
 test('a start sent directly without an answer is neither settled by absence nor reaped; a higher token is asked for', () => {
-  const t = keeper(5);
+  const t = scheduler(5);
   t.report([]);
   t.tell('run');
   expect(t.calls[0]?.cmds[0]?.op).toBe('start');
@@ -90,7 +90,7 @@
 });
 
 test('absence settles only once the worker has seen this token and has handled the answer with the start', () => {
-  const t = keeper(5);
+  const t = scheduler(5);
   t.report([], 4);
   t.tell('stop');
   expect(t.settled()).toBe(false);
@@ -101,7 +101,7 @@
 });
 
 test('a start carried by an answer is waited for until a later report', () => {
-  const t = keeper(5);
+  const t = scheduler(5);
   t.report([]);
   t.tell('run');
   t.calls[0]!.cb({ ok: false, kind: 'refused' });
@@ -114,8 +114,8 @@
   expect(t.settled()).toBe(true);
 });
 
-test('a new keeper gives up what does not boot, but not what ran before it led and is not heard yet', () => {
-  const t = keeper(5);
+test('a new scheduler gives up what does not boot, but not what ran before it led and is not heard yet', () => {
+  const t = scheduler(5);
   const old = { addr: '', type: 'small', zone: 'a', spot: false, ageS: 500 };
   t.list.push({ name: 'vm-1', phase: 'booting', ...old }, { name: 'vm-2', phase: 'running', ...old });
   for (let i = 0; i < 15; i++) {
@@ -126,7 +126,7 @@
 });
 
 test('a single replica does not hide that others must be spread: their zone stays theirs', () => {
-  const t = keeper(5);
+  const t = scheduler(5);
   const want = (id: string, spread: boolean): Want =>
     makeWant(id, {
       team: 'free',
--- a/test/standin/keeper.ts
+++ b/test/standin/scheduler.ts
@@ -1,12 +1,12 @@
 import { ImageFacts } from '../../src/core/images.js';
-import { Keeper } from '../../src/core/keeper.js';
 import type { Policy } from '../../src/core/policy.js';
+import { Scheduler } from '../../src/core/scheduler.js';
 import type {
   Held,
-  KeeperMsg,
   ListedMachine,
   Objective,
   Result,
+  SchedulerMsg,
   TaskReport,
   Want,
   WorkerCommand,
@@ -14,10 +14,10 @@
 } from '../../src/core/types.js';
 import { SHAPE } from './shape.js';
 
-/** A keeper alone, with hand-made reports and a worker whose answers the test decides on. */
-export function keeper(token: number, policy: Partial<Policy> = {}, objectives: Objective[] = []) {
+/** A scheduler alone, with hand-made reports and a worker whose answers the test decides on. */
+export function scheduler(token: number, policy: Partial<Policy> = {}, objectives: Objective[] = []) {
   let now = 0;
-  const said: KeeperMsg[] = [];
+  const said: SchedulerMsg[] = [];
   const calls: { cmds: WorkerCommand[]; cb: (r: Result<WorkerReport>) => void }[] = [];
   const raised: string[] = [];
   const removed: string[] = [];
@@ -26,7 +26,7 @@
   /** Machines rented and deleted: the cloud answers only if a test says so; none rented comes up by itself. */
   const rents = { served: false, n: 0 };
   const list: ListedMachine[] = [];
-  const k = new Keeper({
+  const k = new Scheduler({
     inst: 'a',
     token,
     teams: new Map(SHAPE.teams.map((t) => [t.name, t])),
--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -135,8 +135,8 @@
           // Answers are dropped after 4 s, also by a machine that hung meanwhile.
           if (!a.got || a.value.s === 'later' || sim.now - sent > 4000) return this.next(1000);
           if (a.value.s === 'other') {
-            if (a.value.keeper && a.value.keeper !== host && this.w.controllers().includes(a.value.keeper)) {
-              this.target = a.value.keeper;
+            if (a.value.leader && a.value.leader !== host && this.w.controllers().includes(a.value.leader)) {
+              this.target = a.value.leader;
               this.nextAt = sim.now + sim.between(0, 500);
             } else this.next(1000);
             return;
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -1,6 +1,6 @@
 import { readFileSync } from 'node:fs';
+import type { ApiAnswer, JobState } from '../../src/core/api.js';
 import { Controller, type MeshMsg, type ReportAnswer } from '../../src/core/controller.js';
-import type { DoorAnswer, JobState } from '../../src/core/door.js';
 import type {
   Clock,
   CloudPort,
@@ -387,13 +387,13 @@
   }
 
   private ask(
-    run: (ctl: Controller, reply: (a: DoorAnswer) => void) => void,
-    cb: (a: DoorAnswer | null) => void,
+    run: (ctl: Controller, reply: (a: ApiAnswer) => void) => void,
+    cb: (a: ApiAnswer | null) => void,
   ): void {
     const host = this.anyHost();
     const p = this.procs.get(host);
     if (!p?.alive) return this.sim.after(5, () => cb(null));
-    this.net.call<DoorAnswer>(
+    this.net.call<ApiAnswer>(
       'users',
       host,
       5000,
@@ -416,7 +416,7 @@
     const go = (left: number) => {
       const asked = this.sim.now;
       this.ask(
-        (c, r) => c.door.submit(spec, r),
+        (c, r) => c.api.submit(spec, r),
         (a) => {
           if (a?.s === 'job') this.tell(j, a.state, a.done, asked);
           else if (a && (a.s === 'never' || a.s === 'unknown') && j.accepted)
@@ -440,7 +440,7 @@
     const accepted = j.accepted;
     const asked = this.sim.now;
     this.ask(
-      (c, r) => c.door.poll(j.spec.id, r),
+      (c, r) => c.api.poll(j.spec.id, r),
       (a) => {
         if (a?.s === 'job') this.tell(j, a.state, a.done, asked);
         else if (a?.s === 'unknown' && accepted) this.fault(`forgotten: ${j.spec.id}`);
@@ -450,7 +450,7 @@
 
   pollUnknown(): void {
     this.ask(
-      (c, r) => c.door.poll('wk-nobody', r),
+      (c, r) => c.api.poll('wk-nobody', r),
       (a) => a?.s === 'job' && this.fault('invented'),
     );
   }
@@ -462,7 +462,7 @@
     const go = (left: number) => {
       const asked = this.sim.now;
       this.ask(
-        (c, r) => c.door.abort(id, r),
+        (c, r) => c.api.abort(id, r),
         (a) => {
           if (a?.s === 'job') this.tell(j, a.state, a.done, asked);
           else if (left > 0) this.sim.after(1000, () => go(left - 1));
@@ -479,7 +479,7 @@
     if (cancel) this.abort(id);
     const asked = this.sim.now;
     this.ask(
-      (c, r) => c.door.submit(j.spec, r),
+      (c, r) => c.api.submit(j.spec, r),
       (a) => {
         if (a?.s === 'job') this.tell(j, a.state, a.done, asked);
         else if (a && a.s !== 'later') this.fault(`forgotten: a repeat of ${id} was answered ${a.s}`);
@@ -513,19 +513,19 @@
     if (!j || this.sim.chance(0.3)) {
       const spec = { ...(j?.spec ?? ODD), id: `wk-odd${++this.odd}`, cpus: 1e6 };
       return this.ask(
-        (c, r) => c.door.submit(spec, r),
+        (c, r) => c.api.submit(spec, r),
         (a) => a?.s === 'job' && this.fault(`accepted: ${spec.id} fits no machine`),
       );
     }
     const asked = this.sim.now;
     if (j.told === 'done') {
       return this.ask(
-        (c, r) => c.door.abort(j.spec.id, r),
+        (c, r) => c.api.abort(j.spec.id, r),
         (a) => a?.s === 'job' && this.tell(j, a.state, a.done, asked),
       );
     }
     this.ask(
-      (c, r) => c.door.submit({ ...j.spec, cpus: 1e6, team: 'nobody' }, r),
+      (c, r) => c.api.submit({ ...j.spec, cpus: 1e6, team: 'nobody' }, r),
       (a) => {
         if (a?.s === 'job') this.tell(j, a.state, a.done, asked);
         else if (a && a.s !== 'later') this.fault(`forgotten: a repeat of ${j.spec.id} was answered ${a.s}`);
