--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -244,7 +244,13 @@
    * have told what they hold nobody knows what is there: then what the last leader told of cancellations must do.
    */
   mayRenew(m: Machine, now: number): boolean {
-    if (!this.horizons.whole) return coversMachine(this.o.inherited(), m.name, now, this.window);
+    if (!this.horizons.whole) {
+      const c = this.o.inherited();
+      const told = this.o.told(now);
+      // What users were told since is known by name: its tasks are stopped wherever a report lists them.
+      const at = c && c.at >= told.since ? Math.max(c.at, told.at) : (c?.at ?? 0);
+      return coversMachine(c && { ...c, at }, m.name, now, this.window);
+    }
     if (m.strangers.size > 0 && this.strange(m)) return now - this.least(now) <= this.window;
     const teams = new Set<string>();
     for (const e of m.entries.values()) if (e.want !== 'reap' && e.want !== 'hold') teams.add(e.team);
@@ -254,7 +260,7 @@
     return false;
   }
 
-  /** Where attempts of a job that ended without being done are listed still. */
+  /** Where attempts of a job were refused for others that are listed still. */
   readonly lingering = new Map<string, Set<Machine>>();
 
   setLingers(m: Machine, jobs: ReadonlySet<string>): void {
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -66,7 +66,7 @@
   leaving: boolean;
   idleSince: number;
   errors: Map<string, number>;
-  /** Jobs with attempts that ended here without being done, and are listed still. */
+  /** Jobs of which this machine refused an attempt for another that it lists. */
   lingers: ReadonlySet<string>;
   strangers: Map<string, number>;
   /** Room being freed here by stops is for this job. */
@@ -157,11 +157,11 @@
 
 const NONE: ReadonlySet<string> = new Set();
 
-/** The jobs of ended attempts that were not done, in a worker's list. */
+/** The jobs of which a worker has refused an attempt since it lists another: it will refuse the next as well. */
 export function lingering(tasks: readonly TaskReport[]): ReadonlySet<string> {
   let jobs: Set<string> | null = null;
   for (const t of tasks)
-    if (t.phase === 'exited' && t.why !== 'done') {
+    if (t.phase === 'exited' && t.why === 'busy') {
       jobs ??= new Set();
       jobs.add(t.job);
     }
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -243,8 +243,8 @@
     const w = { ...want, starved };
     // A guarantee is to be had at once, whatever the aim allows.
     if (inside && w.patienceS) w.patienceS = 0;
-    // A worker that lists an earlier attempt may refuse the next: places taken there came back again and again, each
-    // time at the cost of work stopped for it (seen in a seeded day: nothing ended any more).
+    // A worker that refused an attempt for an earlier one refuses the next too: places taken there came back again and
+    // again, each time at the cost of work stopped for it (seen in a seeded day: nothing ended any more).
     if (lingers) w.avoid = [...want.avoid, ...[...lingers].map((m) => m.name)];
     // Nothing is left but where they linger: under a higher token they may go.
     if (lingers && now - since > LINGER_MS && [...lingers].some((m) => this.wouldFit(m, want, now)))
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -487,7 +487,8 @@
     }
     // Each change of a machine's tasks makes it report once more: ended ones are removed together, or with something else.
     if (out.length > 0 || reaps.length >= REAPS_TOGETHER || now - since > REAP_MS) out.push(...reaps);
-    if (m.strangers.size > 0 && this.l.allSynced()) {
+    if (m.strangers.size > 0) {
+      const synced = this.l.allSynced();
       const entitled = this.o.entitled();
       for (const [key, since] of m.strangers) {
         if (out.length >= COMMANDS_AT_ONCE) break;
@@ -496,7 +497,9 @@
           m.strangers.delete(key);
           continue;
         }
-        if (now - since < 3000 || now - this.l.startedAt < 3000) continue;
+        const cancelled = this.o.isCancelled(t.job);
+        if (!synced && !(cancelled && t.phase !== 'exited')) continue;
+        if (!cancelled && (now - since < 3000 || now - this.l.startedAt < 3000)) continue;
         const id = { job: t.job, idx: t.idx, attempt: t.attempt };
         // Nobody's, as far as all owners have told: also without entitlement, since later tokens bar it.
         if (t.phase !== 'exited') out.push({ op: 'stop', ...id, graceS: 0 });
--- a/test/cancellation.test.ts
+++ b/test/cancellation.test.ts
@@ -98,6 +98,31 @@
   },
 );
 
+test.each([1, 2, 3])(
+  'a leader elected as an outage begins, before any owner has told what it holds, keeps what runs and stops what is cancelled (%i)',
+  (seed) => {
+    const { w, ids, on } = running(seed);
+    const before = ids.slice(1).flatMap((id) => on(id).map((m) => `${m.name}/${m.season}`));
+    const old = leaderOf(w);
+    w.state.refused.add(old);
+    const next = () => w.hosts.find((h) => h !== old && leads(w, h));
+    while (!next()) w.sim.run(w.sim.now + 1);
+    w.state.setDown(true);
+    // Told to its user just before, by a controller that had it stored.
+    const c = w.procs.get(w.hosts.find((h) => h !== old && h !== next())!)!.ctl as unknown as {
+      tellCancelled(id: string): void;
+    };
+    c.tellCancelled(ids[0]!);
+    w.sim.run(w.sim.now + w.shape.cancelS * 2500);
+    expect(on(ids[0]!)).toEqual([]);
+    expect(ids.slice(1).flatMap((id) => on(id).map((m) => `${m.name}/${m.season}`))).toEqual(before);
+    w.state.allow(old);
+    w.state.setDown(false);
+    w.sim.run(w.sim.now + 20000);
+    expect(w.broken).toEqual([]);
+  },
+);
+
 test('what siblings told counts from when nothing of it is missing, and only up to the mark they had', () => {
   const t = new Told(['b', 'c']);
   expect(t.asOf(100).at).toBe(Number.NEGATIVE_INFINITY);
