--- a/test/cancellation.test.ts
+++ b/test/cancellation.test.ts
@@ -123,6 +123,39 @@
   },
 );
 
+test('what runs of a cancelled job is stopped where a report lists it, also before its owner has told what it holds', () => {
+  const t = scheduler(5);
+  t.report([]);
+  t.k.unsync('o');
+  const other = { ...listed('running'), job: 'wk-2' };
+  t.report([listed('running'), other]);
+  t.cancelled.add('wk-1');
+  expect(t.report([listed('running'), other])).toEqual([
+    { op: 'stop', job: 'wk-1', idx: 0, attempt: 1, graceS: 0 },
+  ]);
+});
+
+test('an owner that is heard but hears nothing loses its teams', () => {
+  const w = new World(12);
+  w.sim.run(8000);
+  const leader = leaderOf(w);
+  const owner = w.hosts.find(
+    (h) => h !== leader && (w.procs.get(h)!.ctl.status().teams as string[]).length > 0,
+  )!;
+  const [team] = w.procs.get(owner)!.ctl.status().teams as string[];
+  const send = w.net.send.bind(w.net);
+  w.net.send = (from, to, fn, lost) => {
+    if (from !== leader || to !== owner) send(from, to, fn, lost);
+  };
+  w.sim.run(w.sim.now + 20000);
+  expect(leaderOf(w)).toBe(leader);
+  expect(w.procs.get(owner)!.ctl.status().teams).toEqual([]);
+  const j = job(w, { team: team as string, tasks: 2 });
+  w.submit(j);
+  w.sim.run(w.sim.now + 60000);
+  expect([w.jobs.get(j.id)!.told, w.broken]).toEqual(['done', []]);
+});
+
 test('what siblings told counts from when nothing of it is missing, and only up to the mark they had', () => {
   const t = new Told(['b', 'c']);
   expect(t.asOf(100).at).toBe(Number.NEGATIVE_INFINITY);
--- a/test/standin/scheduler.ts
+++ b/test/standin/scheduler.ts
@@ -23,6 +23,8 @@
   const removed: string[] = [];
   const resigned: string[] = [];
   const siblings = { n: 0 };
+  /** Jobs known to be stored as cancelled, whatever their owner has read. */
+  const cancelled = new Set<string>();
   /** Machines rented and deleted: the cloud answers only if a test says so; none rented comes up by itself. */
   const rents = { served: false, n: 0 };
   const list: ListedMachine[] = [];
@@ -72,7 +74,7 @@
     wake: () => {},
     deposed: () => {},
     inherited: () => null,
-    isCancelled: () => false,
+    isCancelled: (id) => cancelled.has(id),
     told: (at) => ({ since: at, at: Number.NEGATIVE_INFINITY }),
     siblings: () => siblings.n,
     resign: (why) => resigned.push(why),
@@ -166,6 +168,7 @@
     held,
     hold,
     owner,
+    cancelled,
     tell,
     wants,
     settled,
