Overloaded queues are released by response ratio; large jobs that can begin in time keep a share

Cause: a queue with jobs older than two minutes was released by age, so that one large array took all places of a team at its limit. Ruled out: use counted twice, lost wants. The stand-ins count served jobs by class and team, the largest within four minutes, and starts after a cancellation.

--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -1,5 +1,6 @@
 import { Counter, FanOut } from './graph.js';
 import { Marks } from './horizon.js';
+import { type QueueKey, ReleaseOrder, type TeamLoad } from './owner/release-order.js';
 import {
   chunkSize,
   countRecord,
@@ -100,9 +101,6 @@
   wake(): void;
 }
 
-/** A large array stands back so long at most; nobody is kept waiting longer than the second for others' sake. */
-const MOST_BACK_MS = 60000;
-const MOST_KEPT_MS = 120000;
 /** Most placements told in one message. */
 const SYNC_PART = 400;
 
@@ -124,8 +122,7 @@
   /** The leader's marks, and the newest told to be covered. */
   private readonly marks = new Marks();
   private coveredTold = Number.NEGATIVE_INFINITY;
-  /** Aims on finishing, by class, shortest first. */
-  private readonly finish = new Map<string, number[]>();
+  private readonly order: ReleaseOrder;
   private readonly archived = new Set<string>();
   private readonly chunk: number;
   private readonly window: number;
@@ -144,12 +141,7 @@
 
   constructor(private readonly o: OwnerOptions) {
     this.chunk = chunkSize(o.valueKb);
-    for (const a of o.objectives)
-      if (a.kind === 'finished')
-        this.finish.set(
-          a.cls,
-          [...(this.finish.get(a.cls) ?? []), a.withinS].sort((x, y) => x - y),
-        );
+    this.order = new ReleaseOrder(o.objectives);
     this.window = releaseWindow(o.valueKb);
   }
 
@@ -342,6 +334,7 @@
     for (const p of j.placed.values()) if (p.running) j.shownRunning++;
     j.fan.skipTo((i) => j.count.has(i));
     this.jobs.set(spec.id, j);
+    if (!old) this.order.learn(spec);
     if (this.isOver(j)) this.mark(j, 0);
   }
 
@@ -534,6 +527,18 @@
     return this.used.get(team) ?? { cpus: 0, gpus: 0, batch: 0 };
   }
 
+  private load(team: string): TeamLoad {
+    const limit = this.o.teams.get(team);
+    return {
+      runningTasks: this.usage(team).batch,
+      maxParallel: (spec) => {
+        const cpus = limit && limit.cpusMax > 0 && spec.cpus > 0 ? limit.cpusMax / spec.cpus : spec.tasks;
+        const gpus = limit && limit.gpusMax > 0 && spec.gpus > 0 ? limit.gpusMax / spec.gpus : spec.tasks;
+        return Math.floor(Math.min(cpus, gpus) + 1e-9);
+      },
+    };
+  }
+
   private roomUnderLimit(team: string, s: JobSpec): number {
     const t = this.o.teams.get(team);
     if (!t) return 0;
@@ -792,15 +797,17 @@
 
   private wants(): Want[] {
     const now = this.o.clock.now();
-    const jobs = [...this.jobs.values()].filter(
-      (j) => !j.cancelled && !j.reloading && j.count.n + j.placed.size < j.spec.tasks,
-    );
-    const key = new Map(jobs.map((j) => [j, { stage: this.stage(j), at: this.queuePlace(j) }]));
-    jobs.sort((a, b) => {
-      const x = key.get(a)!;
-      const y = key.get(b)!;
-      return a.spec.rank - b.spec.rank || x.stage - y.stage || x.at - y.at || a.order - b.order;
-    });
+    const queued = [...this.jobs.values()]
+      .filter((j) => !j.cancelled && !j.reloading && !j.count.full)
+      .map((j) => ({
+        state: j,
+        spec: j.spec,
+        order: j.order,
+        finished: j.count.n,
+        placed: j.placed.size,
+        failures: j.failures,
+      }));
+    const sorted = this.order.sort(queued, this.o.clock.wall(), (team) => this.load(team));
     const left = new Map<string, { cpus: number; gpus: number }>();
     for (const [name, t] of this.teams) {
       const lim = this.o.teams.get(name);
@@ -812,7 +819,8 @@
       });
     }
     const out: Want[] = [];
-    for (const j of jobs) {
+    for (const { job, key } of sorted) {
+      const j = job.state;
       const s = j.spec;
       const l = left.get(s.team);
       if (!l || j.holdUntil > now) continue;
@@ -829,55 +837,21 @@
       if (open <= 0) continue;
       l.cpus -= open * s.cpus;
       l.gpus -= open * s.gpus;
-      out.push(this.want(j, open, now));
+      out.push(this.want(j, key, open, now));
     }
     return out;
   }
 
-  /**
-   * Release order has two exceptions within a rank. A job that can still meet its aim goes ahead of one that
-   * can't any more, until that one is long overdue; and a large array stands back by the time it would take
-   * the places its team has now, so that small ones behind it are not late for its sake.
-   */
-  private stage(j: Job): number {
-    const s = j.spec;
-    const wall = this.o.clock.wall();
-    if (this.kept(j, wall)) return 0;
-    if (s.deadlineS !== null) return wall + s.estimateS * 1000 <= s.at + s.deadlineS * 1000 ? 0 : 1;
-    const aims = this.finish.get(s.cls);
-    if (!aims || s.shape === 'service') return 0;
-    const ageS = (wall - s.at) / 1000;
-    if (ageS > (aims.at(-1) ?? 0) * 3) return 0;
-    const k = aims.findIndex((a) => ageS + s.estimateS <= a);
-    return k < 0 ? aims.length : k;
-  }
-
-  /** Has been kept waiting so long that it goes before all others of its rank, the oldest first. */
-  private kept(j: Job, wall: number): boolean {
-    const s = j.spec;
-    return s.shape !== 'service' && wall - s.at > MOST_KEPT_MS && j.count.n + j.placed.size < s.tasks;
-  }
-
   /** Its aim or deadline, and what is left until then. */
   private slack(j: Job): { aimS: number | null; slackS: number | null } {
     const s = j.spec;
-    const aim = s.deadlineS ?? (s.shape === 'service' ? undefined : this.finish.get(s.cls)?.[0]);
+    const aim = s.deadlineS ?? (s.shape === 'service' ? undefined : this.order.firstAimS(s));
     if (aim === undefined) return { aimS: null, slackS: null };
     const left = aim - (this.o.clock.wall() - s.at) / 1000;
     return left > 0 ? { aimS: aim, slackS: left } : { aimS: null, slackS: null };
   }
 
-  private queuePlace(j: Job): number {
-    const s = j.spec;
-    if (s.shape === 'service') return s.at;
-    // Before all that may still stand back, in release order.
-    if (this.kept(j, this.o.clock.wall())) return s.at - 10 * MOST_BACK_MS;
-    const back = (2000 * s.estimateS * (s.tasks - j.count.n)) / Math.max(10, this.usage(s.team).batch);
-    // Who must start first to be in time goes first: long tasks before short ones of the same age.
-    return s.at + Math.min(MOST_BACK_MS, back) - Math.min(MOST_BACK_MS, 1750 * s.estimateS);
-  }
-
-  private want(j: Job, open: number, now: number): Want {
+  private want(j: Job, key: QueueKey, open: number, now: number): Want {
     const s = j.spec;
     let zone = s.zone;
     let zoneRoom: Record<string, number> | null = null;
@@ -898,8 +872,8 @@
       team: s.team,
       cls: s.cls,
       rank: s.rank,
-      order: this.queuePlace(j),
-      stage: this.stage(j),
+      order: key.position,
+      stage: key.stage,
       count: open,
       whole: s.shape === 'gang',
       service: s.shape === 'service',
--- /dev/null
+++ b/src/core/owner/job-sizes.ts
@@ -0,0 +1,56 @@
+import type { JobSpec } from '../types.js';
+
+/** Jobs of a class by which its sizes are judged. */
+const REMEMBERED_JOBS = 100;
+/** A large job is at least as large as this share of its class, and larger than the median. */
+const LARGE_QUANTILE = 0.75;
+const MEDIAN = 0.5;
+
+interface Threshold {
+  quantile: number;
+  median: number;
+}
+
+/** Sizes of the latest jobs of each class, and which jobs are large among them: by their tasks, or by their run time. */
+export class JobSizes {
+  private readonly latest = new Map<string, JobSpec[]>();
+  private readonly thresholds = new Map<string, { tasks: Threshold; estimateS: Threshold }>();
+
+  learn(spec: JobSpec): void {
+    if (spec.shape === 'service') return;
+    const jobs = this.latest.get(spec.cls) ?? [];
+    jobs.push(spec);
+    if (jobs.length > REMEMBERED_JOBS) jobs.shift();
+    this.latest.set(spec.cls, jobs);
+    this.thresholds.delete(spec.cls);
+  }
+
+  isLarge(spec: JobSpec): boolean {
+    const { tasks, estimateS } = this.thresholdsOf(spec.cls);
+    return exceeds(spec.tasks, tasks) || exceeds(spec.estimateS, estimateS);
+  }
+
+  private thresholdsOf(jobClass: string): { tasks: Threshold; estimateS: Threshold } {
+    const known = this.thresholds.get(jobClass);
+    if (known) return known;
+    const jobs = this.latest.get(jobClass) ?? [];
+    const thresholds = {
+      tasks: threshold(jobs.map((job) => job.tasks)),
+      estimateS: threshold(jobs.map((job) => job.estimateS)),
+    };
+    this.thresholds.set(jobClass, thresholds);
+    return thresholds;
+  }
+}
+
+function exceeds(value: number, { quantile, median }: Threshold): boolean {
+  return value >= quantile && value > median;
+}
+
+function threshold(values: readonly number[]): Threshold {
+  const sorted = [...values].sort((a, b) => a - b);
+  return {
+    quantile: sorted[Math.floor(sorted.length * LARGE_QUANTILE)] ?? Number.POSITIVE_INFINITY,
+    median: sorted[Math.floor((sorted.length - 1) * MEDIAN)] ?? Number.POSITIVE_INFINITY,
+  };
+}
--- /dev/null
+++ b/src/core/owner/release-order.ts
@@ -0,0 +1,232 @@
+import type { JobSpec, Objective } from '../types.js';
+import { JobSizes } from './job-sizes.js';
+
+/** Longest time that a large array is moved back in its queue, and that a long task is moved forward. */
+const MAX_SHIFT_MS = 60_000;
+/** Longest time that a job waits behind younger ones. */
+const MAX_WAIT_MS = 120_000;
+/** A queue in which a job has waited so long without having begun in full is overloaded. */
+const OVERLOADED_AFTER_MS = 60_000;
+/** Aims on finishing are given up once a job is older than this multiple of the last of them. */
+const OVERDUE_FACTOR = 3;
+/** Estimates of run times are often too low by half. */
+const ESTIMATE_MARGIN = 1.75;
+/** Tasks that a team is assumed to run at a time while it runs fewer. */
+const MIN_PARALLEL_TASKS = 10;
+/** In an overloaded queue: time within which users expect a job to begin in full. */
+const BEGIN_WITHIN_S = 240;
+/** In an overloaded queue: weight of the remaining work of a job that has begun in full. */
+const BEGUN_WORK_FACTOR = 2;
+/** In an overloaded queue: share of the running tasks up to which large jobs precede small ones. */
+const LARGE_JOBS_SHARE = 0.65;
+const MIN_WORK_S = 1;
+
+/** What the order of release depends on: a job that is neither done nor cancelled. */
+export interface QueuedJob {
+  spec: JobSpec;
+  /** Revision at which the job was accepted. */
+  order: number;
+  /** Tasks that are finished, and tasks that are placed now. */
+  finished: number;
+  placed: number;
+  failures: number;
+}
+
+/** Place in the queue within a priority: by stage first, by position second, lower first. */
+export interface QueueKey {
+  /** 0 while the job can still meet its first aim or its deadline, more for each aim missed. */
+  stage: number;
+  /** Time of day of its acceptance in ms, shifted by what the job still needs. */
+  position: number;
+}
+
+/** What a team runs now and may run at most, in tasks of arrays and gangs. */
+export interface TeamLoad {
+  runningTasks: number;
+  /** Most tasks of this job that the limit of its team admits at a time. */
+  maxParallel(spec: JobSpec): number;
+}
+
+/**
+ * The order in which the jobs of a team are released.
+ *
+ * Jobs are released in the order of their acceptance, with two exceptions that end after `MAX_WAIT_MS`: a job that can
+ * still meet its aim precedes one that cannot, and large arrays are moved back by the time that they would occupy the
+ * team's places.
+ *
+ * A queue in which a job has not begun in full after `OVERLOADED_AFTER_MS` has more work than places. Release by age would
+ * let one large array hold up every job behind it there (incident inc-cb3a: 10 of 30 arrays begun), so the jobs of such a
+ * queue are released by response ratio (highest response ratio next): the wait in multiples of the work that is left.
+ * Jobs that can still begin in full within `BEGIN_WITHIN_S` precede the others, and among these the large ones of each
+ * class do as long as they run less than their share.
+ */
+export class ReleaseOrder {
+  /** Aims on finishing by class, shortest first. */
+  private readonly finishAims = new Map<string, number[]>();
+  private readonly sizes = new JobSizes();
+
+  constructor(objectives: readonly Objective[]) {
+    for (const aim of objectives) {
+      if (aim.kind !== 'finished') continue;
+      const aims = [...(this.finishAims.get(aim.cls) ?? []), aim.withinS];
+      this.finishAims.set(
+        aim.cls,
+        aims.sort((a, b) => a - b),
+      );
+    }
+  }
+
+  /** The shortest aim on finishing of a job's class, if it has one. */
+  firstAimS(spec: JobSpec): number | undefined {
+    return this.finishAims.get(spec.cls)?.[0];
+  }
+
+  /** A job has been accepted: what counts as large in its class depends on it. */
+  learn(spec: JobSpec): void {
+    this.sizes.learn(spec);
+  }
+
+  /**
+   * Sorts the jobs that have tasks to release by priority and key, and gives each its key. `jobs` are those of any
+   * teams that are neither done nor cancelled.
+   */
+  sort<J extends QueuedJob>(
+    jobs: readonly J[],
+    wallMs: number,
+    loadOf: (team: string) => TeamLoad,
+  ): { job: J; key: QueueKey }[] {
+    const queues = new Map<string, J[]>();
+    for (const job of jobs) {
+      const { team, rank, shape } = job.spec;
+      const name = `${rank}|${shape === 'service'}|${team}`;
+      const queue = queues.get(name);
+      if (queue) queue.push(job);
+      else queues.set(name, [job]);
+    }
+    const sorted = [...queues.values()].flatMap((queue) =>
+      this.sortQueue(queue, wallMs, loadOf(queue[0]?.spec.team ?? '')),
+    );
+    return sorted.sort(
+      (a, b) =>
+        a.job.spec.rank - b.job.spec.rank ||
+        a.key.stage - b.key.stage ||
+        a.key.position - b.key.position ||
+        a.job.order - b.job.order,
+    );
+  }
+
+  /** Jobs of one team and priority. */
+  private sortQueue<J extends QueuedJob>(
+    queue: J[],
+    wallMs: number,
+    load: TeamLoad,
+  ): { job: J; key: QueueKey }[] {
+    const waiting = queue.filter((job) => openTasks(job) > 0);
+    const keyed = waiting.map((job) => ({ job, key: this.key(job, wallMs, load) }));
+    if (!waiting.some((job) => isStarved(job, wallMs, load))) return keyed;
+    // The turns of this queue among those of other teams stay as they are; which of its jobs takes which changes.
+    const turns = keyed.map(({ key }) => key).sort((a, b) => a.stage - b.stage || a.position - b.position);
+    return this.byResponseRatio(waiting, this.largeHaveTheirShare(queue), wallMs, load).map((job, i) => ({
+      job,
+      key: turns[i]!,
+    }));
+  }
+
+  private byResponseRatio<J extends QueuedJob>(
+    waiting: J[],
+    largeHaveTheirShare: boolean,
+    wallMs: number,
+    load: TeamLoad,
+  ): J[] {
+    const ranked = waiting.map((job) => {
+      const inTime = canBeginInTime(job, wallMs, load);
+      const first = inTime && !largeHaveTheirShare && this.sizes.isLarge(job.spec);
+      return { job, tier: first ? 0 : inTime ? 1 : 2, ratio: responseRatio(job, wallMs, load) };
+    });
+    ranked.sort((a, b) => a.tier - b.tier || b.ratio - a.ratio || a.job.order - b.job.order);
+    return ranked.map(({ job }) => job);
+  }
+
+  private largeHaveTheirShare(queue: readonly QueuedJob[]): boolean {
+    let running = 0;
+    let large = 0;
+    for (const { spec, placed } of queue) {
+      running += placed;
+      if (this.sizes.isLarge(spec)) large += placed;
+    }
+    return large >= LARGE_JOBS_SHARE * running && large > 0;
+  }
+
+  private key(job: QueuedJob, wallMs: number, load: TeamLoad): QueueKey {
+    return { stage: this.stage(job, wallMs), position: position(job, wallMs, load) };
+  }
+
+  private stage(job: QueuedJob, wallMs: number): number {
+    const { spec } = job;
+    if (hasWaitedLong(job, wallMs)) return 0;
+    if (spec.deadlineS !== null)
+      return wallMs + spec.estimateS * 1000 <= spec.at + spec.deadlineS * 1000 ? 0 : 1;
+    const aims = this.finishAims.get(spec.cls);
+    if (!aims || spec.shape === 'service') return 0;
+    const ageS = (wallMs - spec.at) / 1000;
+    if (ageS > (aims.at(-1) ?? 0) * OVERDUE_FACTOR) return 0;
+    const next = aims.findIndex((aimS) => ageS + spec.estimateS <= aimS);
+    return next < 0 ? aims.length : next;
+  }
+}
+
+function position(job: QueuedJob, wallMs: number, load: TeamLoad): number {
+  const { spec } = job;
+  if (spec.shape === 'service') return spec.at;
+  // Before all that may still be moved back, in the order of acceptance.
+  if (hasWaitedLong(job, wallMs)) return spec.at - 10 * MAX_SHIFT_MS;
+  const parallel = Math.max(MIN_PARALLEL_TASKS, load.runningTasks);
+  const backMs = (2000 * spec.estimateS * (spec.tasks - job.finished)) / parallel;
+  // What must start first to be in time goes first: long tasks before short ones of the same age.
+  const forwardMs = ESTIMATE_MARGIN * spec.estimateS * 1000;
+  return spec.at + Math.min(MAX_SHIFT_MS, backMs) - Math.min(MAX_SHIFT_MS, forwardMs);
+}
+
+function openTasks(job: QueuedJob): number {
+  return job.spec.tasks - job.finished - job.placed;
+}
+
+function hasWaitedLong(job: QueuedJob, wallMs: number): boolean {
+  return job.spec.shape !== 'service' && wallMs - job.spec.at > MAX_WAIT_MS && openTasks(job) > 0;
+}
+
+/** Jobs that fail wherever they run wait for their users, not for room. */
+function isStarved(job: QueuedJob, wallMs: number, load: TeamLoad): boolean {
+  if (job.spec.shape === 'service' || job.failures > 0) return false;
+  return wallMs - job.spec.at > OVERLOADED_AFTER_MS && tasksToBegin(job, load) > 0;
+}
+
+/** Tasks that must begin until all have, or as many as the limit of the team admits at a time: begun in full. */
+function tasksToBegin(job: QueuedJob, load: TeamLoad): number {
+  const wanted = Math.min(job.spec.tasks, load.maxParallel(job.spec));
+  return Math.max(0, wanted - job.finished - job.placed);
+}
+
+/** Time that some tasks of a job take in the places that the team has now. */
+function workS(spec: JobSpec, tasks: number, load: TeamLoad): number {
+  const parallel = Math.max(MIN_PARALLEL_TASKS, load.runningTasks);
+  return Math.max(MIN_WORK_S, (tasks * spec.estimateS) / parallel);
+}
+
+function waitS(spec: JobSpec, wallMs: number): number {
+  return Math.max(0, (wallMs - spec.at) / 1000);
+}
+
+function canBeginInTime(job: QueuedJob, wallMs: number, load: TeamLoad): boolean {
+  const toBegin = tasksToBegin(job, load);
+  const beginS = workS(job.spec, toBegin, load);
+  return toBegin > 0 && waitS(job.spec, wallMs) + beginS <= BEGIN_WITHIN_S;
+}
+
+/** (wait + work) / work. */
+function responseRatio(job: QueuedJob, wallMs: number, load: TeamLoad): number {
+  const { spec } = job;
+  const toBegin = tasksToBegin(job, load);
+  const work = workS(spec, toBegin > 0 ? toBegin : spec.tasks * BEGUN_WORK_FACTOR, load);
+  return (waitS(spec, wallMs) + work) / work;
+}
--- a/test/days.test.ts
+++ b/test/days.test.ts
@@ -13,6 +13,8 @@
     const w = playDay(seed, seed % 6);
     expect(w.broken.slice(0, 5)).toEqual([]);
     expect(w.unfinished()).toEqual([]);
+    expect(w.underServed()).toEqual([]);
+    expect(w.service.startsAfterCancellation).toBe(0);
     expect(w.starts).toBeGreaterThan(0);
   },
   120000,
@@ -24,6 +26,8 @@
     const w = playDay(seed, seed % 5, drawShape(new Sim(seed)));
     expect(w.broken.slice(0, 5)).toEqual([]);
     expect(w.unfinished()).toEqual([]);
+    expect(w.underServed()).toEqual([]);
+    expect(w.service.startsAfterCancellation).toBe(0);
     expect(w.starts).toBeGreaterThan(0);
   },
   120000,
--- a/test/rules.test.ts
+++ b/test/rules.test.ts
@@ -42,6 +42,7 @@
   w.sim.run(w.sim.now + 4000);
   expect(w.broken.some((t) => t.includes('forgotten'))).toBe(false);
   w.sim.run(w.sim.now + 76000);
+  expect(w.service.startsAfterCancellation).toBe(1);
   const kinds = new Set(w.broken.map((t) => t.split(' ')[1]));
   b.size.cpus = 16;
   expect([...kinds].sort()).toEqual(['forgotten:', 'quota:', 'ran_cancelled:', 'ran_twice:', 'wrong_place:']);
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -16,6 +16,7 @@
   WorkerReport,
 } from '../../src/core/types.js';
 import { checkPolicy } from '../../src/settings/policy.js';
+import { ServiceLevel } from './service-level.js';
 import { SHAPE, type Shape } from './shape.js';
 import { type Answer, Net, Sim } from './sim.js';
 import { StateStandin } from './state.js';
@@ -91,6 +92,7 @@
   quietFrom = Number.POSITIVE_INFINITY;
   capacity: number;
   starts = 0;
+  readonly service: ServiceLevel;
   private machines = 0;
   private instances = 0;
   private readonly claims = new Map<string, string[]>();
@@ -104,6 +106,7 @@
   ) {
     this.hosts = shape.hosts;
     this.capacity = shape.capacity;
+    this.service = new ServiceLevel(shape.teams);
     this.sim = new Sim(seed);
     this.net = new Net(this.sim);
     this.state = new StateStandin(this.sim);
@@ -413,6 +416,7 @@
       finalAt: Number.POSITIVE_INFINITY,
     };
     this.jobs.set(spec.id, j);
+    this.service.submitted(spec, this.sim.now);
     const go = (left: number) => {
       const asked = this.sim.now;
       this.ask(
@@ -581,6 +585,8 @@
           this.fault(`ran_cancelled: ${key} on ${place}`);
         if (this.on.get(key) === place) continue;
         this.starts++;
+        this.service.started(t.job, t.idx, this.sim.now);
+        if (j.cancelledAt !== null) this.service.startsAfterCancellation++;
         if (w.spot && !s.spot) this.fault(`wrong_place: ${key} on a spot machine`);
         if (s.types && !s.types.includes(w.type)) this.fault(`wrong_place: ${key} on ${w.type}`);
         if (s.zone !== null && s.zone !== w.zone) this.fault(`wrong_place: ${key} in ${w.zone}`);
@@ -607,6 +613,11 @@
     for (const [k, v] of at) this.on.set(k, v);
   }
 
+  /** Groups of jobs too few of which were served; jobs that fail everywhere or were called off don't count. */
+  underServed(): string[] {
+    return this.service.underServed((id) => this.doomed.has(id) || this.jobs.get(id)?.askedCancel === true);
+  }
+
   /** Accepted work that should be over by now. */
   unfinished(): string[] {
     return [...this.jobs.values()]
