--- a/src/core/api.ts
+++ b/src/core/api.ts
@@ -2,7 +2,15 @@
 import type { Mirror } from './mirror.js';
 import { type CountRecord, decodeBits, type EndRecord, type OpenRecord } from './records.js';
 import { slots } from './room.js';
-import type { JobSpec, Logger, MachineType, StatePort, Team, Urgency } from './types.js';
+import {
+  type JobSpec,
+  type Logger,
+  type MachineType,
+  type StatePort,
+  type Team,
+  URGENCY,
+  type Urgency,
+} from './types.js';
 
 export type JobState = 'queued' | 'running' | 'done' | 'cancelled';
 export type ApiAnswer =
@@ -54,7 +62,7 @@
     const never = known || !this.teams.has(spec.team) ? this.whyNever(spec) : null;
     if (never !== null || !known) {
       // A job once accepted is never refused, whatever its repeat holds.
-      return this.find(spec.id, 2, (f) => {
+      return this.find(spec.id, URGENCY.read, (f) => {
         if (f === null) return cb({ s: 'later', reason: 'state service not reached' });
         const a = this.answer(spec.id, f, false);
         if (a.s !== 'unknown') return cb(a);
@@ -79,7 +87,7 @@
           ],
           then: [{ put: `open/${spec.id}/a`, value: rec }],
         },
-        1,
+        URGENCY.user,
         (r) => {
           if (r.ok) {
             this.log.debug({ job: spec.id, team: spec.team, tasks: spec.tasks }, 'accepted');
@@ -87,7 +95,7 @@
           }
           if (r.kind === 'unknown' && left > 0) return attempt(left - 1);
           if (r.kind !== 'conflict') return cb({ s: 'later', reason: 'state service not reached' });
-          this.find(spec.id, 2, (f) => {
+          this.find(spec.id, URGENCY.read, (f) => {
             if (f === null) return cb({ s: 'later', reason: 'state service not reached' });
             const a = this.answer(spec.id, f, false);
             cb(a.s === 'unknown' ? { s: 'later', reason: 'state changed meanwhile' } : a);
@@ -100,14 +108,14 @@
 
   /** For a submission that is malformed but names a job. */
   poll(id: string, cb: Answer): void {
-    this.find(id, 2, (f) =>
+    this.find(id, URGENCY.read, (f) =>
       cb(f === null ? { s: 'later', reason: 'state service not reached' } : this.answer(id, f, false)),
     );
   }
 
   abort(id: string, cb: Answer): void {
     const attempt = (left: number) => {
-      this.find(id, 1, (f) => {
+      this.find(id, URGENCY.user, (f) => {
         if (f === null) return cb({ s: 'later', reason: 'state service not reached' });
         const a = this.answer(id, f, false);
         if (a.s !== 'job' || a.state === 'done' || a.state === 'cancelled' || !f.open) return cb(a);
@@ -120,7 +128,7 @@
             ],
             then: [{ put: `open/${id}/a`, value: rec }],
           },
-          0,
+          URGENCY.lease,
           (r) => {
             if (r.ok) {
               this.log.debug({ job: id }, 'cancelled by its user');
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -21,6 +21,7 @@
   WorkerPort,
   WorkerReport,
 } from './types.js';
+import { URGENCY } from './types.js';
 
 /** What controllers say to one another. */
 export type MeshBody =
@@ -392,7 +393,7 @@
             when: [{ key: 'sys/leader', version: this.leaderMark }],
             then: [{ put: 'sys/types', value: r.value }],
           },
-          2,
+          URGENCY.placement,
           () => {},
         );
     });
@@ -424,7 +425,7 @@
     const retry = () => {
       this.leaseBusy = false;
     };
-    this.state.get(key, 0, (g) => {
+    this.state.get(key, URGENCY.lease, (g) => {
       if (!g.ok) return retry();
       const rec = g.value?.value as NodeRecord | undefined;
       const next = () => this.takeLease(key, g.value?.version ?? 0, retry);
@@ -443,7 +444,7 @@
       const lease = l.value;
       this.state.txn(
         { when: [{ key, version }], then: [{ put: key, value: { inst: this.o.inst, lease }, lease }] },
-        0,
+        URGENCY.lease,
         (r) => {
           this.leaseBusy = false;
           if (!r.ok) return;
@@ -480,7 +481,7 @@
           { put: 'sys/leader', value: rec, lease: this.lease },
         ],
       },
-      0,
+      URGENCY.lease,
       (r) => {
         this.electing = false;
         if (r.ok) this.lead(rec, r.value, why);
@@ -548,7 +549,7 @@
     this.stepDown(why);
     this.state.txn(
       { when: [{ key: 'sys/leader', version: mark }], then: [{ del: 'sys/leader' }] },
-      0,
+      URGENCY.lease,
       () => {},
     );
   }
@@ -566,7 +567,7 @@
     this.givingUp = true;
     this.state.txn(
       { when: [{ key: 'sys/leader', version: it.version }], then: [{ del: 'sys/leader' }] },
-      0,
+      URGENCY.lease,
       () => {
         this.givingUp = false;
       },
@@ -681,7 +682,7 @@
         ],
         then: batch.map(([team, inst]) => ({ put: `sys/team/${team}`, value: { inst } })),
       },
-      0,
+      URGENCY.lease,
       (r) => {
         this.assigning = false;
         this.o.log.debug({ teams: Object.fromEntries(batch), ok: r.ok }, 'teams assigned');
--- a/src/core/mirror.ts
+++ b/src/core/mirror.ts
@@ -1,4 +1,4 @@
-import type { Clock, StateEvent, StatePort } from './types.js';
+import { type Clock, type StateEvent, type StatePort, URGENCY } from './types.js';
 
 /** Least time between two reads on behalf of questions: all that come meanwhile share the next one. */
 const READ_GAP_MS = 150;
@@ -116,7 +116,7 @@
     const seen = new Set<string>();
     let first = 0;
     const page = (since: string) => {
-      this.state.list(this.prefix, since, 1, (r) => {
+      this.state.list(this.prefix, since, URGENCY.user, (r) => {
         if (!r.ok) {
           this.clock.after(300, () => {
             this.listing = false;
--- a/src/core/owner.ts
+++ b/src/core/owner.ts
@@ -27,6 +27,7 @@
   Txn,
   Want,
 } from './types.js';
+import { URGENCY } from './types.js';
 
 interface Placement {
   idx: number;
@@ -244,7 +245,7 @@
       this.o.clock.after(300, () => this.o.wake());
     };
     const page = (prefix: string, since: string, done: () => void) => {
-      this.o.state.list(prefix, since, 1, (r) => {
+      this.o.state.list(prefix, since, URGENCY.user, (r) => {
         if (!r.ok) return failed();
         for (const it of r.value.items) readJob(found, it);
         const last = r.value.items.at(-1);
@@ -345,7 +346,7 @@
     const found = new Map<string, StoredJob>();
     const again = () => this.o.clock.after(300, () => this.jobs.get(id) === j && read());
     const page = (prefix: string, since: string, done: () => void) => {
-      this.o.state.list(prefix, since, 1, (r) => {
+      this.o.state.list(prefix, since, URGENCY.user, (r) => {
         if (!r.ok) return void again();
         for (const it of r.value.items) readJob(found, it);
         const last = r.value.items.at(-1);
@@ -958,7 +959,7 @@
       j.dueAt = Number.POSITIVE_INFINITY;
     }
     this.txnBusy[kind] = true;
-    this.o.state.txn(txn, kind === 'tidy' ? 3 : 1, (r) => {
+    this.o.state.txn(txn, kind === 'tidy' ? URGENCY.cleanup : URGENCY.placement, (r) => {
       this.txnBusy[kind] = false;
       for (const j of part) {
         j.busy = false;
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -260,8 +260,12 @@
 export type Result<T> = { ok: true; value: T } | Failure;
 export type Then<T> = (r: Result<T>) => void;
 
-/** Urgency of a state request: leases, stops and placements, ordinary, tidying up. */
-export type Urgency = 0 | 1 | 2 | 3;
+/**
+ * Urgency of a request to the state service, most urgent first. Submissions and the reads that answer users cost one put
+ * or none each, so they go before the placements, whose transactions use up the budget of writes.
+ */
+export const URGENCY = { lease: 0, user: 1, placement: 2, read: 3, cleanup: 4 } as const;
+export type Urgency = (typeof URGENCY)[keyof typeof URGENCY];
 
 export interface StatePort {
   get(key: string, u: Urgency, cb: Then<Item | null>): void;
--- a/src/io/pace.ts
+++ b/src/io/pace.ts
@@ -1,4 +1,4 @@
-import type { Urgency } from '../core/types.js';
+import { URGENCY, type Urgency } from '../core/types.js';
 
 /** So long a request waits for its turn, urgent ones and others: users give up after five seconds. */
 const PATIENCE_MS = 3000;
@@ -12,7 +12,7 @@
 
 /**
  * Keeps one controller's requests under its part of the service's limits. The part is learnt: it starts above
- * an equal share, shrinks on every 429 and grows back slowly. Urgency 0 never waits.
+ * an equal share, shrinks on every 429 and grows back slowly. Leases never wait.
  */
 export class Pace {
   private readonly floor: number;
@@ -21,7 +21,7 @@
   private ops: number;
   private at = Date.now();
   private timer: NodeJS.Timeout | null = null;
-  private readonly queues: Waiting[][] = [[], [], [], []];
+  private readonly queues: Waiting[][] = Object.values(URGENCY).map(() => []);
 
   constructor(private readonly l: { rps: number; writeRps: number; nodes: number }) {
     this.floor = 0.8 / Math.max(1, l.nodes);
@@ -38,8 +38,8 @@
 
   enter(u: Urgency, ops: number, go: (ok: boolean) => void): void {
     this.fill();
-    if (u === 0 || (this.ahead(u) === 0 && this.affords(ops))) return this.spend(ops, go);
-    const patience = u <= 1 ? PATIENCE_MS : LESS_MS;
+    if (u === URGENCY.lease || (this.ahead(u) === 0 && this.affords(ops))) return this.spend(ops, go);
+    const patience = u <= URGENCY.placement ? PATIENCE_MS : LESS_MS;
     // What would be given up on in the end is refused now.
     if (this.waitMs(u, ops) > patience) return go(false);
     this.queues[u]!.push({ ops, until: Date.now() + patience, go });
--- a/src/io/state.ts
+++ b/src/io/state.ts
@@ -1,4 +1,13 @@
-import type { Failure, Item, StateEvent, StatePort, Then, Txn, Urgency } from '../core/types.js';
+import {
+  type Failure,
+  type Item,
+  type StateEvent,
+  type StatePort,
+  type Then,
+  type Txn,
+  URGENCY,
+  type Urgency,
+} from '../core/types.js';
 import { parse } from '../wire/json.js';
 import { readEvents, readFailed, readItem, readItems, readLease, readRev, writeTxn } from '../wire/state.js';
 import { Client, type Reply } from './client.js';
@@ -84,12 +93,12 @@
   }
 
   grant(ttlMs: number, cb: Then<number>): void {
-    this.run(0, 0, 'POST', '/grants', { ttl_ms: Math.round(ttlMs) }, readLease, cb);
+    this.run(URGENCY.lease, 0, 'POST', '/grants', { ttl_ms: Math.round(ttlMs) }, readLease, cb);
   }
 
   touch(lease: number, cb: Then<null>): void {
     this.run<null | true>(
-      0,
+      URGENCY.lease,
       0,
       'POST',
       `/grants/${lease}/touch`,
@@ -101,7 +110,7 @@
 
   end(lease: number, cb: Then<null>): void {
     this.run<null | true>(
-      0,
+      URGENCY.lease,
       0,
       'DELETE',
       `/grants/${lease}`,
@@ -118,7 +127,7 @@
     cb: Then<{ rev: number; events: StateEvent[] }>,
   ): void {
     const q = `prefix=${encodeURIComponent(prefix)}&since=${since}&wait_ms=${waitMs}`;
-    this.pace.enter(1, 0, (ok) => {
+    this.pace.enter(URGENCY.user, 0, (ok) => {
       if (!ok) return cb({ ok: false, kind: 'refused' });
       this.watches.call('GET', `/watch?${q}`, undefined, waitMs === 0 ? DEADLINE_MS : waitMs + 3000, (r) => {
         if (r.status === 429) this.pace.refused();
--- a/test/pace.test.ts
+++ b/test/pace.test.ts
@@ -1,17 +1,31 @@
 import { expect, test } from 'vitest';
+import { URGENCY, type Urgency } from '../src/core/types.js';
 import { Pace } from '../src/io/pace.js';
 
 test('what would wait longer than its sender does is refused at once, and the urgent never waits', async () => {
   const pace = new Pace({ rps: 100, writeRps: 20, nodes: 1 });
   const told: string[] = [];
-  const enter = (u: 0 | 1 | 2 | 3, ops: number, name: string) =>
+  const enter = (u: Urgency, ops: number, name: string) =>
     pace.enter(u, ops, (ok) => told.push(`${name} ${ok}`));
-  enter(1, 12, 'first');
+  enter(URGENCY.placement, 12, 'first');
   // Sixteen changes a second: a second's worth waits, five seconds' worth would not be served in time.
-  enter(1, 16, 'waits');
-  enter(1, 80, 'too much');
-  enter(0, 5, 'lease');
+  enter(URGENCY.placement, 16, 'waits');
+  enter(URGENCY.placement, 80, 'too much');
+  enter(URGENCY.lease, 5, 'lease');
   expect(told).toEqual(['first true', 'too much false', 'lease true']);
   await new Promise((r) => setTimeout(r, 2500));
   expect(told.slice(3)).toEqual(['waits true']);
 });
+
+test('submissions and reads for users do not wait behind the placements that use up the budget of writes', async () => {
+  const pace = new Pace({ rps: 100, writeRps: 20, nodes: 1 });
+  const told: string[] = [];
+  const enter = (u: Urgency, ops: number, name: string) => pace.enter(u, ops, () => told.push(name));
+  enter(URGENCY.placement, 14, 'placements');
+  enter(URGENCY.placement, 14, 'more placements');
+  enter(URGENCY.user, 0, 'read');
+  expect(told).toEqual(['placements', 'read']);
+  enter(URGENCY.user, 1, 'submission');
+  await new Promise((r) => setTimeout(r, 400));
+  expect(told).toEqual(['placements', 'read', 'submission']);
+});
