An attempt listed as ended is never started again; a sync with a part lost is asked for again

By reading: a full sync in parts was taken for whole though its first part had gone to the scheduler before a change of token; the tasks in it were nobody's, were stopped and removed, and when their owner told them again the scheduler, which had just listed them as ended, started them once more beside their successors. Both steps have a test that fails without the guard; the play itself has not been seen again.

--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -11,6 +11,8 @@
   /** A direct command with its start is under way. */
   direct: boolean;
   listed: TaskReport | null;
+  /** Its worker has listed it as ended: it is never started again, whatever the worker lists later. */
+  ended: boolean;
   settled: boolean;
   told: string;
   since: number;
@@ -221,6 +223,7 @@
     sentWith: -1,
     direct: false,
     listed: null,
+    ended: false,
     settled: false,
     told: '',
     since: now,
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -32,7 +32,7 @@
   private readonly fleet: Fleet;
   /** Machines to which something may have to be sent. */
   private readonly toDirect = new Set<Machine>();
-  private readonly parts = new Map<string, { sync: number; held: Held[] }>();
+  private readonly parts = new Map<string, { sync: number; next: number; held: Held[] }>();
   private median = { at: Number.NEGATIVE_INFINITY, value: 0 };
   private readonly outbox = new Map<string, Seen[]>();
   private nextPass = 0;
@@ -92,16 +92,8 @@
     if (m.token !== this.l.token) return;
     switch (m.k) {
       case 'sync': {
-        const old = this.parts.get(m.inst);
-        const all = old?.sync === m.sync ? old.held : [];
-        for (const h of m.held) all.push(h);
-        if (m.part < m.parts - 1) {
-          this.parts.set(m.inst, { sync: m.sync, held: all });
-          return;
-        }
-        this.parts.delete(m.inst);
-        // The connection was made anew in between: a part is missing, and all is asked for again.
-        if (m.part > 0 && old?.sync !== m.sync) return;
+        const all = this.assemble(m.inst, m);
+        if (!all) return;
         this.l.horizons.synced(m.inst, m.sync);
         this.sync(m.inst, m.gens, all);
         this.placing.setWants(m.inst, m.wants);
@@ -125,6 +117,26 @@
     this.o.wake();
   }
 
+  /**
+   * All placements of a full sync once its last part has come. A connection made anew in between loses any of the parts:
+   * then there is none, and the owner is asked again, or tasks in the lost part would be taken for nobody's and stopped.
+   */
+  private assemble(
+    inst: string,
+    m: { sync: number; part: number; parts: number; held: Held[] },
+  ): Held[] | null {
+    const begun = this.parts.get(inst);
+    this.parts.delete(inst);
+    if (m.part > 0 && (begun?.sync !== m.sync || begun.next !== m.part)) {
+      this.unsync(inst);
+      return null;
+    }
+    const held = m.part === 0 ? [...m.held] : [...begun!.held, ...m.held];
+    if (m.part === m.parts - 1) return held;
+    this.parts.set(inst, { sync: m.sync, next: m.part + 1, held });
+    return null;
+  }
+
   /** A message with a stop may be lost with its connection: then the horizon stays, and all is told again. */
   private advance(inst: string, sync: number, n: number, gens: Record<string, number>, mark: number): void {
     if (mark > this.o.clock.now()) return;
@@ -195,6 +207,7 @@
       e = newEntry(h, this.o.clock.now());
       m.entries.set(key, e);
       e.listed = m.tasks.get(key) ?? null;
+      e.ended = e.listed?.phase === 'exited';
     } else {
       // A stop is not taken back.
       if (h.want === 'reap' && e.want !== 'reap') e.since = this.o.clock.now();
@@ -346,6 +359,7 @@
         if (asReport && r.tally > e.sentWith) e.sentWith = -1;
         if (t.phase !== e.listed?.phase) this.phase(m, e, t, now);
         e.listed = t;
+        e.ended = t.phase === 'exited';
         e.settled = false;
       } else {
         if (m.season > e.season) {
@@ -362,6 +376,7 @@
             continue;
           }
           e.listed = null;
+          this.judgeRemoved(m, e);
           this.judgeAbsent(m, e);
         }
       }
@@ -445,8 +460,18 @@
     this.l.touch(m);
   }
 
+  /**
+   * Settled by having ended: the worker listed it as ended, and was told to remove it when nobody claimed it. Its owner
+   * may claim it only now; a start would run it once more, beside its successor (seen in hunt-f5ff-7: ran_twice).
+   */
+  private judgeRemoved(m: Machine, e: Entry): void {
+    if (!e.ended || e.settled || e.want === 'reap' || e.want === 'hold') return;
+    e.settled = true;
+    this.l.touch(m);
+  }
+
   private canStart(m: Machine, e: Entry): boolean {
-    if (!m.up || m.removing || e.season !== m.season || !this.o.entitled()) return false;
+    if (!m.up || m.removing || e.ended || e.season !== m.season || !this.o.entitled()) return false;
     // What its owner told before a long silence may have been cancelled since.
     return this.l.isSynced(e.team) && this.l.covered(e.team, this.o.clock.now());
   }
--- a/test/delays.test.ts
+++ b/test/delays.test.ts
@@ -152,3 +152,41 @@
   w.sim.run(w.sim.now + 10000);
   expect(w.hosts.filter(leads).length).toBe(1);
 });
+
+test('a full sync of which a part was lost is not taken for the whole: the owner is asked again', () => {
+  const t = scheduler(5);
+  const running = [0, 1, 2].map((idx) => ({ ...t.held('run'), idx }));
+  const tasks = running.map((h) => ({ ...listed('running'), idx: h.idx }));
+  for (const h of running) t.hold(h);
+  t.report(tasks);
+  const gens = { red: 1, blue: 1, free: 1 };
+  const part = (n: number, h: (typeof running)[number]) =>
+    t.k.fromOwner({
+      k: 'sync',
+      token: 5,
+      inst: 'o',
+      sync: 2,
+      parts: 3,
+      part: n,
+      gens,
+      held: [h],
+      wants: [],
+    });
+  part(0, running[0]!);
+  t.said.length = 0;
+  part(2, running[2]!);
+  expect(t.said).toContainEqual({ k: 'resync', token: 5 });
+  expect(t.said.some((m) => m.k === 'synced')).toBe(false);
+  t.later(5000);
+  expect(t.report(tasks)?.filter((c) => c.op === 'stop')).toEqual([]);
+});
+
+test('an attempt that was listed as ended and removed is not started again when its owner claims it late', () => {
+  const t = scheduler(5);
+  t.report([listed('exited')]);
+  t.tell('run');
+  expect(t.said.some((m) => m.k === 'seen' && m.seen.some((s) => s.s === 'phase'))).toBe(true);
+  expect(t.report([])?.filter((c) => c.op === 'start')).toEqual([]);
+  expect(t.calls.flatMap((call) => call.cmds).filter((c) => c.op === 'start')).toEqual([]);
+  expect(t.settled()).toBe(true);
+});
