--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -2,7 +2,7 @@
 import { type Cover, coversMachine, Marks, readGapMs, windowMs } from './horizon.js';
 import { type ImageFact, ImageFacts } from './images.js';
 import { Mirror } from './mirror.js';
-import { Owner } from './owner.js';
+import { Owner } from './owner/owner.js';
 import type { PolicyFn } from './policy.js';
 import { Scheduler } from './scheduler.js';
 import { Told } from './told.js';
--- a/src/core/owner.ts
+++ b/src/core/owner/owner.ts
@@ -1,84 +1,44 @@
-import { Counter, FanOut } from './graph.js';
-import { Marks } from './horizon.js';
-import { type QueueKey, ReleaseOrder, type TeamLoad } from './owner/release-order.js';
+import { Marks } from '../horizon.js';
+import { chunkSize, readJob, releaseWindow, type StoredJob } from '../records.js';
 import {
-  chunkSize,
-  countRecord,
-  type Placed,
-  type PlaceRecord,
-  placeKey,
-  readJob,
-  releaseWindow,
-  type StoredJob,
-} from './records.js';
-import type {
-  Clock,
-  Grant,
-  Held,
-  JobSpec,
-  Logger,
-  Objective,
-  OwnerMsg,
-  SchedulerMsg,
-  Seen,
-  StateOp,
-  StatePort,
-  Team,
-  Txn,
-  Want,
-} from './types.js';
-import { URGENCY } from './types.js';
-
-interface Placement {
-  idx: number;
-  attempt: number;
-  machine: string;
-  season: number;
-  zone: string;
-  grant: number;
-  /** In the state service; before that no start may be sent. */
-  stored: boolean;
-  want: 'run' | 'stop';
-  running: boolean;
-  /** Settled: may be started elsewhere; `reap` once that is stored. */
-  settled: boolean;
-  listed: boolean;
-}
-
-interface Job {
-  spec: JobSpec;
-  order: number;
-  aMark: number;
-  nMark: number;
-  cancelled: boolean;
-  count: Counter;
-  fan: FanOut;
-  placed: Map<number, Placement>;
-  attempts: Map<number, number>;
-  chunkMarks: Map<number, number>;
-  dirtyChunks: Set<number>;
-  dirtyCount: boolean;
-  /** When what is dirty should be written; Infinity: nothing is. */
-  dueAt: number;
-  /** In the transaction now in flight. */
-  busy: boolean;
-  /** Stored state is being read again; nothing is decided meanwhile. */
-  reloading: boolean;
-  holdUntil: number;
-  failures: number;
-  avoid: Map<string, number>;
-  /** Where its last finished task ran: the next one goes there if it can. */
-  near: string;
-  shownRunning: number;
-  storedRunning: number;
-  toReap: { p: Placement; listed: boolean }[];
-}
-
-/** What follows when a job's part of a transaction is stored, or surely was not. */
-interface Commit {
-  done: (mark: number) => void;
-  undo: () => void;
-}
+  type Clock,
+  type Grant,
+  type Held,
+  type Logger,
+  type Objective,
+  type OwnerMsg,
+  type SchedulerMsg,
+  type Seen,
+  type StatePort,
+  type Team,
+  type Txn,
+  taskKey,
+  URGENCY,
+  type Want,
+} from '../types.js';
+import {
+  gangAttempt,
+  heldOf,
+  isOver,
+  newJob,
+  type OwnedJob,
+  type Placement,
+  type SettledPlacement,
+  zoneAllows,
+} from './job.js';
+import {
+  counterKey,
+  type JobWrite,
+  jobKey,
+  keyOf,
+  revisionOf,
+  type WriteEvents,
+  writeChanges,
+  writeFinal,
+} from './job-writes.js';
+import { ReleaseOrder } from './release-order.js';
+import { TeamUsage } from './team-usage.js';
+import { listWants } from './wants.js';
 
 export interface OwnerOptions {
   inst: string;
@@ -106,13 +66,12 @@
 const SYNC_PART = 400;
 
 /** Holds the teams assigned to this controller: release, queue, limits, one attempt per task, counters. */
-export class Owner {
-  private readonly jobs = new Map<string, Job>();
+export class Owner implements WriteEvents {
+  private readonly jobs = new Map<string, OwnedJob>();
   private readonly teams = new Map<string, { gen: number; loaded: boolean; loading: boolean }>();
-  /** What unsettled placements take, by team, and how many of them are of arrays and gangs. */
-  private readonly used = new Map<string, { cpus: number; gpus: number; batch: number }>();
+  private readonly usage: TeamUsage;
   /** Jobs with something to write, or over and not yet filed. */
-  private readonly dirty = new Set<Job>();
+  private readonly dirty = new Set<OwnedJob>();
   private flushTimer = 0;
   private wantsAt = 0;
   /** The newest grant taken in from this scheduler. */
@@ -143,6 +102,7 @@
   constructor(private readonly o: OwnerOptions) {
     this.chunk = chunkSize(o.valueKb);
     this.order = new ReleaseOrder(o.objectives);
+    this.usage = new TeamUsage(o.teams);
     this.window = releaseWindow(o.valueKb);
   }
 
@@ -174,35 +134,23 @@
     this.o.wake();
   }
 
-  private letGo(j: Job): void {
-    for (let n = j.placed.size; n > 0; n--) this.use(j, -1);
+  private letGo(j: OwnedJob): void {
+    this.usage.remove(j.spec, j.placed.size);
     this.jobs.delete(j.spec.id);
     this.dirty.delete(j);
   }
 
-  private use(j: Job, sign: 1 | -1): void {
-    const s = j.spec;
-    let u = this.used.get(s.team);
-    if (!u) {
-      u = { cpus: 0, gpus: 0, batch: 0 };
-      this.used.set(s.team, u);
-    }
-    u.cpus += sign * s.cpus;
-    u.gpus += sign * s.gpus;
-    if (s.shape !== 'service') u.batch += sign;
-  }
-
-  private putPlaced(j: Job, p: Placement): void {
+  private putPlaced(j: OwnedJob, p: Placement): void {
     j.placed.set(p.idx, p);
-    this.use(j, 1);
+    this.usage.add(j.spec);
   }
 
-  private dropPlaced(j: Job, p: Placement): void {
-    if (j.placed.delete(p.idx)) this.use(j, -1);
+  private dropPlaced(j: OwnedJob, p: Placement): void {
+    if (j.placed.delete(p.idx)) this.usage.remove(j.spec);
   }
 
   /** Something of a job is to be written within `ms`. */
-  private mark(j: Job, ms: number): void {
+  private mark(j: OwnedJob, ms: number): void {
     this.dirty.add(j);
     j.dueAt = Math.min(j.dueAt, this.o.clock.now() + ms);
   }
@@ -285,33 +233,9 @@
     if (!spec || s.order === 0) return;
     const old = this.jobs.get(spec.id);
     if (old) this.letGo(old);
-    const j: Job = {
-      spec,
-      order: s.order,
-      // Read again from before a cancellation that the watch has shown meanwhile: it is never taken back.
-      aMark: Math.max(s.aMark, old?.aMark ?? 0),
-      nMark: s.nMark,
-      cancelled: s.cancelled || old?.cancelled === true,
-      count: s.count ?? new Counter(spec.tasks),
-      fan: new FanOut(spec.tasks, this.window),
-      placed: new Map(),
-      attempts: new Map(),
-      chunkMarks: new Map(),
-      dirtyChunks: new Set(),
-      dirtyCount: false,
-      dueAt: Number.POSITIVE_INFINITY,
-      busy: false,
-      reloading: false,
-      holdUntil: old?.holdUntil ?? 0,
-      failures: old?.failures ?? 0,
-      avoid: old?.avoid ?? new Map(),
-      near: old?.near ?? '',
-      shownRunning: 0,
-      storedRunning: s.running,
-      toReap: [],
-    };
+    const j = newJob(spec, s, old, this.window);
     for (const [chunk, rec] of s.places) {
-      j.chunkMarks.set(chunk, rec.mark);
+      j.chunkRevisions.set(chunk, rec.mark);
       for (const [k, p] of Object.entries(rec.tasks)) {
         const idx = Number(k);
         j.attempts.set(idx, p[0]);
@@ -326,8 +250,6 @@
           stored: true,
           want: j.cancelled ? 'stop' : 'run',
           running: old?.placed.get(idx)?.running ?? false,
-          settled: false,
-          listed: false,
         });
       }
     }
@@ -336,10 +258,10 @@
     j.fan.skipTo((i) => j.count.has(i));
     this.jobs.set(spec.id, j);
     if (!old) this.order.learn(spec);
-    if (this.isOver(j)) this.mark(j, 0);
+    if (isOver(j)) this.mark(j, 0);
   }
 
-  private reload(j: Job): void {
+  private reload(j: OwnedJob): void {
     if (j.reloading) return;
     j.reloading = true;
     const id = j.spec.id;
@@ -383,18 +305,18 @@
   openChanged(id: string, part: string, value: unknown, mark: number): void {
     const j = this.jobs.get(id);
     if (part === 'n') {
-      if (j && mark > j.nMark && !j.busy && !j.reloading) this.reload(j);
+      if (j && mark > j.counterRevision && !j.busy && !j.reloading) this.reload(j);
       return;
     }
     if (part !== 'a') return;
     if (j) {
       // Also of a job that is being read again: that read may wait out an outage, while what runs must be stopped.
-      if (mark > j.aMark) {
+      if (mark > j.jobRevision) {
         const found = new Map<string, StoredJob>();
         readJob(found, { key: `open/${id}/a`, value, version: mark });
         const s = found.get(id);
         if (s?.cancelled) {
-          j.aMark = mark;
+          j.jobRevision = mark;
           this.cancel(j);
         }
       }
@@ -411,7 +333,7 @@
     this.o.wake();
   }
 
-  private cancel(j: Job): void {
+  private cancel(j: OwnedJob): void {
     if (j.cancelled) return;
     j.cancelled = true;
     this.o.log.debug({ job: j.spec.id, placed: j.placed.size }, 'cancelled');
@@ -477,15 +399,15 @@
     this.wantsDirty = true;
   }
 
-  private place(j: Job, g: Grant): boolean {
-    if (this.roomUnderLimit(j.spec.team, j.spec) < 1) return false;
-    if (!this.zoneAllows(j, g.zone)) return false;
+  private place(j: OwnedJob, g: Grant): boolean {
+    if (!this.usage.admits(j.spec)) return false;
+    if (!zoneAllows(j, g.zone)) return false;
     const idx = j.fan.take(
       (i) => j.count.has(i) || j.placed.has(i),
       (i) => j.count.has(i),
     );
     if (idx < 0) return false;
-    const attempt = j.spec.shape === 'gang' ? this.gangAttempt(j) : (j.attempts.get(idx) ?? 0) + 1;
+    const attempt = j.spec.shape === 'gang' ? gangAttempt(j) : (j.attempts.get(idx) ?? 0) + 1;
     this.putPlaced(j, {
       idx,
       attempt,
@@ -496,60 +418,12 @@
       stored: false,
       want: 'run',
       running: false,
-      settled: false,
-      listed: false,
     });
     j.dirtyChunks.add(Math.floor(idx / this.chunk));
     this.mark(j, 0);
     return true;
   }
 
-  /** All tasks of a gang share one attempt number, above every earlier one. */
-  private gangAttempt(j: Job): number {
-    let top = 0;
-    for (const p of j.placed.values()) if (!p.stored) return p.attempt;
-    for (const a of j.attempts.values()) top = Math.max(top, a);
-    return top + 1;
-  }
-
-  private zoneAllows(j: Job, zone: string): boolean {
-    const s = j.spec;
-    if (s.zone !== null && s.zone !== zone) return false;
-    if (!s.together && !s.apart) return true;
-    let there = 0;
-    for (const p of j.placed.values()) {
-      if (p.zone === zone) there++;
-      else if (s.together) return false;
-    }
-    return !s.apart || there < Math.ceil(s.tasks / 2);
-  }
-
-  private usage(team: string): { cpus: number; gpus: number; batch: number } {
-    return this.used.get(team) ?? { cpus: 0, gpus: 0, batch: 0 };
-  }
-
-  private load(team: string): TeamLoad {
-    const limit = this.o.teams.get(team);
-    return {
-      runningTasks: this.usage(team).batch,
-      maxParallel: (spec) => {
-        const cpus = limit && limit.cpusMax > 0 && spec.cpus > 0 ? limit.cpusMax / spec.cpus : spec.tasks;
-        const gpus = limit && limit.gpusMax > 0 && spec.gpus > 0 ? limit.gpusMax / spec.gpus : spec.tasks;
-        return Math.floor(Math.min(cpus, gpus) + 1e-9);
-      },
-    };
-  }
-
-  private roomUnderLimit(team: string, s: JobSpec): number {
-    const t = this.o.teams.get(team);
-    if (!t) return 0;
-    const u = this.usage(team);
-    let n = Number.POSITIVE_INFINITY;
-    if (t.cpusMax > 0 && s.cpus > 0) n = Math.min(n, Math.floor((t.cpusMax - u.cpus) / s.cpus + 1e-9));
-    if (t.gpusMax > 0 && s.gpus > 0) n = Math.min(n, Math.floor((t.gpusMax - u.gpus) / s.gpus + 1e-9));
-    return Math.max(0, n);
-  }
-
   private saw(s: Seen): void {
     const j = this.jobs.get(s.job);
     const p = j?.placed.get(s.idx);
@@ -562,7 +436,6 @@
       this.settle(j, p, 'gone');
       return;
     }
-    p.listed = true;
     if (s.phase !== 'exited') {
       const running = s.phase === 'running';
       if (running !== p.running) {
@@ -611,21 +484,20 @@
     this.o.wake();
   }
 
-  private reapStored(j: Job | undefined, s: Seen): void {
+  private reapStored(j: OwnedJob | undefined, s: Seen): void {
     if (!j) return;
     if (!j.count.has(s.idx) && (j.attempts.get(s.idx) ?? 0) <= s.attempt && j.placed.has(s.idx)) return;
     if (j.busy || j.dirtyCount || j.dirtyChunks.has(Math.floor(s.idx / this.chunk))) return;
-    if (j.toReap.some((r) => r.p.idx === s.idx)) return;
-    this.outHeld.push(this.held(j, s.idx, s.attempt, s.machine, 0, 'reap', 0, 0));
+    if (j.toReap.some((r) => r.placement.idx === s.idx)) return;
+    this.outHeld.push(heldOf(j, { ...s, season: 0 }, 'reap'));
   }
 
-  private settle(j: Job, p: Placement, why: string): void {
+  private settle(j: OwnedJob, p: Placement, why: string): void {
     if (p.running) j.shownRunning--;
-    p.settled = true;
     this.dropPlaced(j, p);
     j.attempts.set(p.idx, Math.max(p.attempt, j.attempts.get(p.idx) ?? 0));
-    j.toReap.push({ p, listed: why !== 'gone' });
-    if (this.isOver(j)) this.mark(j, 0);
+    j.toReap.push({ placement: p, listed: why !== 'gone' });
+    if (isOver(j)) this.mark(j, 0);
     // What the counter holds is settled by it; its old placement needs no write of its own.
     if (!j.count.has(p.idx)) {
       j.dirtyChunks.add(Math.floor(p.idx / this.chunk));
@@ -638,14 +510,13 @@
   }
 
   /** A gang that lost a task starts anew as a whole, once all its tasks are settled. */
-  private stopGangMate(j: Job, p: Placement): void {
+  private stopGangMate(j: OwnedJob, p: Placement): void {
     this.stop(j, p, 0);
   }
 
-  private stop(j: Job, p: Placement, graceS: number): void {
+  private stop(j: OwnedJob, p: Placement, graceS: number): void {
     p.want = 'stop';
-    if (p.stored)
-      this.outHeld.push(this.held(j, p.idx, p.attempt, p.machine, p.season, 'stop', graceS, p.grant));
+    if (p.stored) this.outHeld.push(heldOf(j, p, 'stop', graceS, p.grant));
   }
 
   private evict(job: string, idx: number, attempt: number, why: string): void {
@@ -659,41 +530,6 @@
     } else this.stop(j, p, grace);
   }
 
-  private held(
-    j: Job,
-    idx: number,
-    attempt: number,
-    machine: string,
-    season: number,
-    want: Held['want'],
-    graceS: number,
-    grant: number,
-  ): Held {
-    const s = j.spec;
-    return {
-      job: s.id,
-      idx,
-      attempt,
-      machine,
-      season,
-      want,
-      graceS,
-      team: s.team,
-      rank: s.rank,
-      gang: s.shape === 'gang',
-      service: s.shape === 'service',
-      cpus: s.cpus,
-      gpus: s.gpus,
-      mem: s.mem,
-      image: s.image,
-      imageGb: s.imageGb,
-      estimateS: s.estimateS,
-      types: s.types,
-      spread: s.apart && s.tasks > 1,
-      grant,
-    };
-  }
-
   // ---- work at the end of each batch of commands ------------------------------------------------
 
   flush(): void {
@@ -720,11 +556,10 @@
       this.dropNew();
       const held: Held[] = [];
       for (const j of this.jobs.values()) {
-        for (const p of j.placed.values())
-          if (p.stored) held.push(this.held(j, p.idx, p.attempt, p.machine, p.season, p.want, 0, 0));
+        for (const p of j.placed.values()) if (p.stored) held.push(heldOf(j, p, p.want));
         for (const r of j.toReap) {
           // Settled but not yet stored so: still ours, or the scheduler would reap what nobody claims.
-          if (r.listed) held.push(this.held(j, r.p.idx, r.p.attempt, r.p.machine, r.p.season, 'keep', 0, 0));
+          if (r.listed) held.push(heldOf(j, r.placement, 'keep'));
         }
       }
       const gens = this.gens();
@@ -742,7 +577,7 @@
           part: i,
           gens,
           held: held.slice(i * SYNC_PART, (i + 1) * SYNC_PART),
-          wants: i === parts - 1 ? this.wants() : [],
+          wants: i === parts - 1 ? this.listWants() : [],
         });
       return;
     }
@@ -767,7 +602,7 @@
       const now = this.o.clock.now();
       if (now < this.wantsAt) return this.wakeAt(this.wantsAt);
       this.wantsDirty = false;
-      const wants = this.wants();
+      const wants = this.listWants();
       // A long list is told less often: it costs both sides, and few places come free between two tellings.
       this.wantsAt = now + Math.min(300, 10 + wants.length * 3);
       const text = JSON.stringify(wants);
@@ -783,6 +618,19 @@
     return gens;
   }
 
+  private listWants(): Want[] {
+    return listWants({
+      jobs: this.jobs.values(),
+      teams: [...this.teams].filter(([, team]) => team.loaded).map(([name]) => name),
+      order: this.order,
+      usage: this.usage,
+      batch: this.o.batch,
+      nowMs: this.o.clock.now(),
+      wallMs: this.o.clock.wall(),
+      lastGrant: this.lastGrant,
+    });
+  }
+
   /** Grants of an earlier scheduler are void; what was not yet sent to the state service goes back. */
   private dropNew(): void {
     for (const j of this.jobs.values()) {
@@ -796,108 +644,6 @@
     }
   }
 
-  private wants(): Want[] {
-    const now = this.o.clock.now();
-    const queued = [...this.jobs.values()]
-      .filter((j) => !j.cancelled && !j.reloading && !j.count.full)
-      .map((j) => ({
-        state: j,
-        spec: j.spec,
-        order: j.order,
-        finished: j.count.n,
-        placed: j.placed.size,
-        failures: j.failures,
-      }));
-    const sorted = this.order.sort(queued, this.o.clock.wall(), (team) => this.load(team));
-    const left = new Map<string, { cpus: number; gpus: number }>();
-    for (const [name, t] of this.teams) {
-      const lim = this.o.teams.get(name);
-      if (!t.loaded || !lim) continue;
-      const u = this.usage(name);
-      left.set(name, {
-        cpus: lim.cpusMax > 0 ? lim.cpusMax - u.cpus : Number.POSITIVE_INFINITY,
-        gpus: lim.gpusMax > 0 ? lim.gpusMax - u.gpus : Number.POSITIVE_INFINITY,
-      });
-    }
-    const out: Want[] = [];
-    for (const { job, key } of sorted) {
-      const j = job.state;
-      const s = j.spec;
-      const l = left.get(s.team);
-      if (!l || j.holdUntil > now) continue;
-      let open = s.tasks - j.count.n - j.placed.size;
-      if (open <= 0) continue;
-      if (s.shape === 'gang' && j.placed.size > 0) continue;
-      let fit = Number.POSITIVE_INFINITY;
-      if (s.cpus > 0) fit = Math.min(fit, Math.floor(l.cpus / s.cpus + 1e-9));
-      if (s.gpus > 0) fit = Math.min(fit, Math.floor(l.gpus / s.gpus + 1e-9));
-      if (s.shape === 'gang' && fit < s.tasks) continue;
-      // A job that keeps failing is tried with one task at a time.
-      if (j.failures >= 3 && s.shape !== 'gang') open = Math.min(open, Math.max(0, 1 - j.placed.size));
-      open = Math.min(open, fit, s.shape === 'gang' ? s.tasks : this.o.batch);
-      if (open <= 0) continue;
-      l.cpus -= open * s.cpus;
-      l.gpus -= open * s.gpus;
-      out.push(this.want(j, key, open, now));
-    }
-    return out;
-  }
-
-  /** Its aim or deadline, and what is left until then. */
-  private slack(j: Job): { aimS: number | null; slackS: number | null } {
-    const s = j.spec;
-    const aim = s.deadlineS ?? (s.shape === 'service' ? undefined : this.order.firstAimS(s));
-    if (aim === undefined) return { aimS: null, slackS: null };
-    const left = aim - (this.o.clock.wall() - s.at) / 1000;
-    return left > 0 ? { aimS: aim, slackS: left } : { aimS: null, slackS: null };
-  }
-
-  private want(j: Job, key: QueueKey, open: number, now: number): Want {
-    const s = j.spec;
-    let zone = s.zone;
-    let zoneRoom: Record<string, number> | null = null;
-    const cap = Math.ceil(s.tasks / 2);
-    // One task alone is spread anywhere, and must not count among those that need a second zone.
-    if (s.apart && s.tasks > 1) zoneRoom = {};
-    for (const p of j.placed.values()) {
-      if (s.together) zone = p.zone;
-      if (zoneRoom) zoneRoom[p.zone] = (zoneRoom[p.zone] ?? cap) - 1;
-    }
-    const avoid: string[] = [];
-    for (const [m, until] of j.avoid) {
-      if (until > now) avoid.push(m);
-      else j.avoid.delete(m);
-    }
-    return {
-      job: s.id,
-      team: s.team,
-      cls: s.cls,
-      rank: s.rank,
-      order: key.position,
-      stage: key.stage,
-      count: open,
-      whole: s.shape === 'gang',
-      service: s.shape === 'service',
-      cpus: s.cpus,
-      gpus: s.gpus,
-      mem: s.mem,
-      image: s.image,
-      imageGb: s.imageGb,
-      estimateS: s.estimateS,
-      types: s.types,
-      spot: s.spot,
-      zone,
-      together: s.together,
-      zoneRoom,
-      zoneCap: cap,
-      avoid,
-      near: j.near,
-      patienceS: null,
-      ...this.slack(j),
-      seen: this.lastGrant,
-    };
-  }
-
   // ---- writing ----------------------------------------------------------------------------------
 
   /**
@@ -909,16 +655,15 @@
     if (this.txnBusy[kind] || this.dirty.size === 0) return;
     if (now < this.retryFlushAt) return this.wakeAt(this.retryFlushAt);
     const txn: Txn = { when: [], then: [] };
-    const after: ((mark: number) => void)[] = [];
-    const undo: (() => void)[] = [];
-    const part: Job[] = [];
+    const writes: JobWrite[] = [];
+    const part: OwnedJob[] = [];
     const teams = new Set<string>();
     let bytes = 0;
-    const jobs: Job[] = [];
+    const jobs: OwnedJob[] = [];
     let next = Number.POSITIVE_INFINITY;
     for (const j of this.dirty) {
       if (j.reloading || j.busy) continue;
-      const over = this.isOver(j);
+      const over = isOver(j);
       if (!over && !j.dirtyCount && j.dirtyChunks.size === 0) {
         j.dueAt = Number.POSITIVE_INFINITY;
         this.dirty.delete(j);
@@ -931,26 +676,20 @@
     jobs.sort((a, b) => a.spec.rank - b.spec.rank || a.dueAt - b.dueAt || a.order - b.order);
     for (const j of jobs) {
       if (txn.then.length >= this.o.txnOps || bytes > 40000) break;
-      const ops: StateOp[] = [];
-      const commit =
-        kind === 'tidy'
-          ? this.archiveOps(j, this.o.txnOps - txn.then.length, ops)
-          : this.jobOps(j, this.o.txnOps - txn.then.length, ops);
-      if (!commit) continue;
-      for (const op of ops) {
+      const room = this.o.txnOps - txn.then.length;
+      const write = kind === 'tidy' ? writeFinal(j, room, this) : writeChanges(j, room, this.chunk, this);
+      if (!write) continue;
+      const written = new Set(write.ops.map(keyOf));
+      for (const op of write.ops) {
         bytes += JSON.stringify(op).length;
-        const key = 'put' in op ? op.put : op.del;
-        txn.when.push({ key, version: this.markOf(j, key) });
+        txn.when.push({ key: keyOf(op), version: revisionOf(j, keyOf(op)) });
         txn.then.push(op);
       }
-      if (!ops.some((op) => ('del' in op ? op.del : op.put) === `open/${j.spec.id}/a`))
-        txn.when.push({ key: `open/${j.spec.id}/a`, version: j.aMark });
-      if (!ops.some((op) => ('del' in op ? op.del : op.put) === `open/${j.spec.id}/n`))
-        txn.when.push({ key: `open/${j.spec.id}/n`, version: j.nMark });
+      for (const key of [jobKey(j.spec.id), counterKey(j.spec.id)])
+        if (!written.has(key)) txn.when.push({ key, version: revisionOf(j, key) });
       teams.add(j.spec.team);
       part.push(j);
-      after.push(commit.done);
-      undo.push(commit.undo);
+      writes.push(write);
     }
     if (part.length === 0) return;
     for (const t of teams) txn.when.push({ key: `sys/team/${t}`, version: this.teams.get(t)?.gen ?? -1 });
@@ -967,10 +706,10 @@
         if (this.jobs.get(j.spec.id) === j) this.mark(j, j.dirtyCount && !j.count.full ? this.lazyMs() : 0);
       }
       if (r.ok) {
-        for (const f of after) f(r.value);
+        for (const write of writes) write.stored(r.value);
       } else if (r.kind === 'refused') {
         // Surely not executed: what was to be stored still is.
-        for (const f of undo) f();
+        for (const write of writes) write.undone();
         this.retryFlushAt = this.o.clock.now() + 100;
         this.o.clock.after(110, () => this.o.wake());
       } else {
@@ -991,123 +730,29 @@
     });
   }
 
-  private markOf(j: Job, key: string): number {
-    if (key === `open/${j.spec.id}/a`) return j.aMark;
-    if (key === `open/${j.spec.id}/n`) return j.nMark;
-    if (key.startsWith('place/')) return j.chunkMarks.get(Number(key.slice(key.lastIndexOf('/') + 1))) ?? 0;
-    return 0;
-  }
+  // ---- what follows from writes ------------------------------------------------------------------
 
-  private isOver(j: Job): boolean {
-    return (j.cancelled || (j.count.full && !j.dirtyCount)) && j.placed.size === 0;
+  placementStored(j: OwnedJob, p: Placement): void {
+    if (j.cancelled) p.want = 'stop';
+    this.outHeld.push(heldOf(j, p, p.want, 0, p.grant));
+    this.o.log.debug(
+      { job: j.spec.id, idx: p.idx, attempt: p.attempt, machine: p.machine },
+      'placement stored',
+    );
   }
 
-  private jobOps(j: Job, room: number, ops: StateOp[]): Commit | null {
-    const id = j.spec.id;
-    const countToo = j.dirtyCount;
-    const chunks = [...j.dirtyChunks].slice(0, Math.max(0, room - (countToo ? 1 : 0)));
-    if (room < 1) return null;
-    const news: Placement[] = [];
-    const reaps = j.toReap;
-    const kept: typeof reaps = [];
-    const done: typeof reaps = [];
-    for (const r of reaps)
-      (chunks.includes(Math.floor(r.p.idx / this.chunk)) || (countToo && j.count.has(r.p.idx))
-        ? done
-        : kept
-      ).push(r);
-    if (countToo) ops.push({ put: `open/${id}/n`, value: countRecord(j.count, j.shownRunning) });
-    for (const c of chunks) {
-      const tasks: Record<string, Placed> = {};
-      let any = false;
-      for (let i = c * this.chunk; i < Math.min(j.spec.tasks, (c + 1) * this.chunk); i++) {
-        const p = j.placed.get(i);
-        if (p) {
-          tasks[i] = [p.attempt, p.machine, p.season, p.zone];
-          if (!p.stored) news.push(p);
-          any = true;
-        } else if (!j.count.has(i)) {
-          const a = j.attempts.get(i);
-          if (a) {
-            tasks[i] = [a];
-            any = true;
-          }
-        }
-      }
-      const key = placeKey(id, c);
-      if (any) ops.push({ put: key, value: { t: tasks } satisfies PlaceRecord });
-      else if (j.chunkMarks.get(c)) ops.push({ del: key });
-    }
-    if (ops.length === 0) {
-      for (const c of chunks) j.dirtyChunks.delete(c);
-      return null;
-    }
-    const running = j.shownRunning;
-    j.dirtyCount = false;
-    for (const c of chunks) j.dirtyChunks.delete(c);
-    j.toReap = kept;
-    const undo = () => {
-      j.dirtyCount ||= countToo;
-      for (const c of chunks) j.dirtyChunks.add(c);
-      j.toReap.push(...done);
-    };
-    const commit = (mark: number) => {
-      if (countToo) {
-        j.nMark = mark;
-        j.storedRunning = running;
-        if (j.count.full) this.o.log.debug({ job: id }, 'counter full: job done');
-      }
-      for (const op of ops) {
-        if ('put' in op && op.put.startsWith('place/'))
-          j.chunkMarks.set(Number(op.put.slice(op.put.lastIndexOf('/') + 1)), mark);
-        if ('del' in op) j.chunkMarks.delete(Number(op.del.slice(op.del.lastIndexOf('/') + 1)));
-      }
-      for (const p of news) {
-        p.stored = true;
-        j.attempts.set(p.idx, p.attempt);
-        if (j.placed.get(p.idx) !== p) continue;
-        const want = j.cancelled ? 'stop' : p.want;
-        p.want = want;
-        this.outHeld.push(this.held(j, p.idx, p.attempt, p.machine, p.season, want, 0, p.grant));
-        this.o.log.debug({ job: id, idx: p.idx, attempt: p.attempt, machine: p.machine }, 'placement stored');
-      }
-      for (const r of done) this.sendReap(j, r);
-    };
-    return { done: commit, undo };
+  outcomeStored(j: OwnedJob, { placement, listed }: SettledPlacement): void {
+    if (listed) return void this.outHeld.push(heldOf(j, placement, 'reap'));
+    const key = taskKey(j.spec.id, placement.idx, placement.attempt);
+    this.outDrop.tasks.push({ machine: placement.machine, key });
   }
 
-  private sendReap(j: Job, r: { p: Placement; listed: boolean }): void {
-    if (r.listed)
-      this.outHeld.push(this.held(j, r.p.idx, r.p.attempt, r.p.machine, r.p.season, 'reap', 0, 0));
-    else this.outDrop.tasks.push({ machine: r.p.machine, key: `${j.spec.id}/${r.p.idx}#${r.p.attempt}` });
+  counterFull(j: OwnedJob): void {
+    this.o.log.debug({ job: j.spec.id }, 'counter full: job done');
   }
 
-  /** A job that is over leaves one final record; its working records are dropped, placements first. */
-  private archiveOps(j: Job, room: number, ops: StateOp[]): Commit | null {
-    const id = j.spec.id;
-    const need = 2 + (j.nMark > 0 ? 1 : 0);
-    if (room < need + Math.min(1, j.chunkMarks.size)) return null;
-    const chunks = [...j.chunkMarks.keys()].slice(0, Math.max(0, room - need));
-    const last = chunks.length === j.chunkMarks.size;
-    for (const c of chunks) ops.push({ del: placeKey(id, c) });
-    if (last) {
-      ops.push({ put: `end/${id}`, value: { d: j.cancelled ? 0 : 1, n: j.count.n } });
-      ops.push({ del: `open/${id}/a` });
-      if (j.nMark > 0) ops.push({ del: `open/${id}/n` });
-    }
-    const reaps = j.toReap;
-    const commit = () => {
-      for (const c of chunks) {
-        j.chunkMarks.delete(c);
-        j.dirtyChunks.delete(c);
-      }
-      for (const r of reaps) this.sendReap(j, r);
-      j.toReap = [];
-      if (last) {
-        this.forget(id);
-        this.o.log.debug({ job: id, cancelled: j.cancelled, done: j.count.n }, 'job filed');
-      }
-    };
-    return { done: commit, undo: () => {} };
+  filed(j: OwnedJob): void {
+    this.forget(j.spec.id);
+    this.o.log.debug({ job: j.spec.id, cancelled: j.cancelled, done: j.count.n }, 'job filed');
   }
 }
--- /dev/null
+++ b/src/core/owner/team-usage.ts
@@ -0,0 +1,77 @@
+import type { JobSpec, Team } from '../types.js';
+import type { TeamLoad } from './release-order.js';
+
+/** Sums of decimal amounts are compared with this tolerance. */
+const EPSILON = 1e-9;
+
+interface Usage {
+  cpus: number;
+  gpus: number;
+  /** Tasks of arrays and gangs. */
+  batchTasks: number;
+}
+
+export interface Amounts {
+  cpus: number;
+  gpus: number;
+}
+
+/** What the unsettled placements of each team take of its limit. Only the owner of a team can store placements of it. */
+export class TeamUsage {
+  private readonly used = new Map<string, Usage>();
+
+  constructor(private readonly teams: ReadonlyMap<string, Team>) {}
+
+  add(spec: JobSpec, tasks = 1): void {
+    const usage = this.of(spec.team);
+    usage.cpus += tasks * spec.cpus;
+    usage.gpus += tasks * spec.gpus;
+    if (spec.shape !== 'service') usage.batchTasks += tasks;
+    this.used.set(spec.team, usage);
+  }
+
+  remove(spec: JobSpec, tasks = 1): void {
+    this.add(spec, -tasks);
+  }
+
+  /** What a team may still take: infinite without a limit; null: there is no such team. */
+  remaining(team: string): Amounts | null {
+    const limit = this.teams.get(team);
+    if (!limit) return null;
+    const { cpus, gpus } = this.of(team);
+    return {
+      cpus: limit.cpusMax > 0 ? limit.cpusMax - cpus : Number.POSITIVE_INFINITY,
+      gpus: limit.gpusMax > 0 ? limit.gpusMax - gpus : Number.POSITIVE_INFINITY,
+    };
+  }
+
+  /** Whether the limit of its team admits one more task of a job. */
+  admits(spec: JobSpec): boolean {
+    const left = this.remaining(spec.team);
+    return left !== null && tasksWithin(left, spec) >= 1;
+  }
+
+  load(team: string): TeamLoad {
+    const limit = this.teams.get(team);
+    const whole = {
+      cpus: limit && limit.cpusMax > 0 ? limit.cpusMax : Number.POSITIVE_INFINITY,
+      gpus: limit && limit.gpusMax > 0 ? limit.gpusMax : Number.POSITIVE_INFINITY,
+    };
+    return {
+      runningTasks: this.of(team).batchTasks,
+      maxParallel: (spec) => Math.min(spec.tasks, tasksWithin(whole, spec)),
+    };
+  }
+
+  private of(team: string): Usage {
+    return this.used.get(team) ?? { cpus: 0, gpus: 0, batchTasks: 0 };
+  }
+}
+
+/** Tasks of a job that fit into these amounts. */
+export function tasksWithin(left: Amounts, spec: JobSpec): number {
+  let tasks = Number.POSITIVE_INFINITY;
+  if (spec.cpus > 0) tasks = Math.min(tasks, Math.floor(left.cpus / spec.cpus + EPSILON));
+  if (spec.gpus > 0) tasks = Math.min(tasks, Math.floor(left.gpus / spec.gpus + EPSILON));
+  return tasks;
+}
--- a/src/core/records.ts
+++ b/src/core/records.ts
@@ -31,8 +31,8 @@
 export interface StoredJob {
   spec: JobSpec | null;
   order: number;
-  aMark: number;
-  nMark: number;
+  jobRevision: number;
+  counterRevision: number;
   cancelled: boolean;
   running: number;
   count: Counter | null;
@@ -105,8 +105,8 @@
     s = {
       spec: null,
       order: 0,
-      aMark: 0,
-      nMark: 0,
+      jobRevision: 0,
+      counterRevision: 0,
       cancelled: false,
       running: 0,
       count: null,
@@ -123,12 +123,12 @@
   if (part === 'a') {
     const rec = it.value as OpenRecord;
     s.spec = rec.j;
-    s.aMark = it.version;
+    s.jobRevision = it.version;
     s.order = rec.o ?? it.version;
     s.cancelled = rec.x === 1;
   } else if (part === 'n') {
     s.countRaw = it.value as CountRecord;
-    s.nMark = it.version;
+    s.counterRevision = it.version;
     s.running = s.countRaw.r;
   }
   if (s.spec && s.countRaw && !s.count) {
--- a/test/cancellation.test.ts
+++ b/test/cancellation.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest';
 import { coversMachine, Marks, windowMs } from '../src/core/horizon.js';
-import { Owner } from '../src/core/owner.js';
+import { Owner } from '../src/core/owner/owner.js';
 import { Told } from '../src/core/told.js';
 import type { OwnerMsg, StatePort } from '../src/core/types.js';
 import { job } from './standin/day.js';
