Small gangs first, large ones after 90 s; claims wait while the fleet starts; 4,000 machines named

The limit of 1,000 machines named in a message stood below 4,000 machines: 20,000 now; listen backlog 8,192.

--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -103,8 +103,8 @@
 /** So long an owner may tell nothing of cancellations while the state service answers; so long it gets no team then. */
 const DEAF_MS = 10000;
 const DEAF_PAUSE_MS = 60000;
-/** Most machines named in one message as having asked here and not the leader. */
-const MOST_STRAYS = 1000;
+/** Most machines named in one message: 200 KB, five times a fleet of 4,000 machines. */
+const MOST_MACHINES_NAMED = 20000;
 /** Part of a lease by which a sibling's last answer from the state service must be later than this one's own. */
 const ALONE = 0.6;
 
@@ -298,7 +298,7 @@
     const news = this.images.news();
     if (this.scheduler && news.add.length + news.gone.length > 0)
       for (const p of this.o.peers) this.meshSend(p, { k: 'images', ...news });
-    const strays = [...this.strays].slice(0, MOST_STRAYS);
+    const strays = [...this.strays].slice(0, MOST_MACHINES_NAMED);
     this.strays.clear();
     for (const p of this.o.peers)
       this.meshSend(p, {
@@ -321,7 +321,8 @@
     for (const inst of new Set([...this.teamRecords().values()].map((r) => r.inst)))
       this.toOwner(inst, { k: 'mark', token: k.token, at: now });
     const c = k.cover();
-    if (c) this.inherit({ at: c.at, pending: c.pending.length > MOST_STRAYS ? null : new Set(c.pending) });
+    if (c)
+      this.inherit({ at: c.at, pending: c.pending.length > MOST_MACHINES_NAMED ? null : new Set(c.pending) });
     return c;
   }
 
@@ -332,7 +333,7 @@
     const h = this.heard.get(host);
     const mark = c && h ? h.marks.by(c.at) : null;
     if (!c || !h || mark === null) return null;
-    return { inst: h.inst, mark, pending: c.pending.length > MOST_STRAYS ? null : c.pending };
+    return { inst: h.inst, mark, pending: c.pending.length > MOST_MACHINES_NAMED ? null : c.pending };
   }
 
   private hadFrom(host: string): { inst: string; mark: number } | null {
--- a/src/core/owner/release-order.ts
+++ b/src/core/owner/release-order.ts
@@ -17,6 +17,11 @@
 const BEGIN_WITHIN_S = 240;
 /** In an overloaded queue: weight of the remaining work of a job that has begun in full. */
 const BEGUN_WORK_FACTOR = 2;
+/**
+ * In an overloaded queue: time that a large gang waits before it precedes small jobs. It needs as many places at once as
+ * a dozen small ones, which all begin in time before it, and it still begins within `BEGIN_WITHIN_S`.
+ */
+const LARGE_GANG_AFTER_S = 90;
 /** In an overloaded queue: share of the running tasks up to which large jobs precede small ones. */
 const LARGE_JOBS_SHARE = 0.65;
 const MIN_WORK_S = 1;
@@ -45,6 +50,8 @@
   runningTasks: number;
   /** Most tasks of this job that the limit of its team admits at a time. */
   maxParallel(spec: JobSpec): number;
+  /** Tasks like those of this job that the limit of its team admits at a time: infinite without a limit. */
+  tasksAtLimit(spec: JobSpec): number;
 }
 
 /**
@@ -140,13 +147,17 @@
   ): J[] {
     const ranked = waiting.map((job) => {
       const inTime = canBeginInTime(job, wallMs, load);
-      const first = inTime && !largeHaveTheirShare && this.sizes.isLarge(job.spec);
+      const first = inTime && !largeHaveTheirShare && this.isLargeAndDue(job.spec, wallMs);
       return { job, tier: first ? 0 : inTime ? 1 : 2, ratio: responseRatio(job, wallMs, load) };
     });
     ranked.sort((a, b) => a.tier - b.tier || b.ratio - a.ratio || a.job.order - b.job.order);
     return ranked.map(({ job }) => job);
   }
 
+  private isLargeAndDue(spec: JobSpec, wallMs: number): boolean {
+    return this.sizes.isLarge(spec) && (spec.shape !== 'gang' || waitS(spec, wallMs) >= LARGE_GANG_AFTER_S);
+  }
+
   private largeHaveTheirShare(queue: readonly QueuedJob[]): boolean {
     let running = 0;
     let large = 0;
@@ -180,13 +191,19 @@
   if (spec.shape === 'service') return spec.at;
   // Before all that may still be moved back, in the order of acceptance.
   if (hasWaitedLong(job, wallMs)) return spec.at - 10 * MAX_SHIFT_MS;
-  const parallel = Math.max(MIN_PARALLEL_TASKS, load.runningTasks);
+  const parallel = parallelTasks(spec, load);
   const backMs = (2000 * spec.estimateS * (spec.tasks - job.finished)) / parallel;
   // What must start first to be in time goes first: long tasks before short ones of the same age.
   const forwardMs = ESTIMATE_MARGIN * spec.estimateS * 1000;
   return spec.at + Math.min(MAX_SHIFT_MS, backMs) - Math.min(MAX_SHIFT_MS, forwardMs);
 }
 
+/** Tasks that run beside one another. Before any gang runs, the limit of its team tells how many will. */
+function parallelTasks(spec: JobSpec, load: TeamLoad): number {
+  const atLimit = spec.shape === 'gang' ? load.tasksAtLimit(spec) : 0;
+  return Math.max(MIN_PARALLEL_TASKS, load.runningTasks, Number.isFinite(atLimit) ? atLimit : 0);
+}
+
 function openTasks(job: QueuedJob): number {
   return job.spec.tasks - job.finished - job.placed;
 }
--- a/src/core/owner/team-budget.ts
+++ b/src/core/owner/team-budget.ts
@@ -6,7 +6,7 @@
  * Time after which a gang that does not fit into what its team may still use keeps the jobs behind it from taking that.
  * Smaller jobs would use up all that comes free, and a large gang would never begin.
  */
-const RESERVE_AFTER_MS = 30_000;
+const RESERVE_AFTER_MS = 90_000;
 
 /** Share of a team's limit that work of lower priority may use although a gang waits: it must not starve either. */
 const LOWER_PRIORITY_SHARE = 0.25;
--- a/src/core/owner/team-usage.ts
+++ b/src/core/owner/team-usage.ts
@@ -62,6 +62,7 @@
     return {
       runningTasks: this.of(team).batchTasks,
       maxParallel: (spec) => Math.min(spec.tasks, tasksWithin(whole, spec)),
+      tasksAtLimit: (spec) => tasksWithin(whole, spec),
     };
   }
 
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -13,8 +13,9 @@
 const STARVED_MS = 45000;
 /** So long work waits before a gang of another team is stopped for its guarantee: all tasks of a gang stop with one. */
 const STOP_GANG_AFTER_MS = 30000;
-/** Share of the machines that boot from which the fleet is taken to be starting. */
-const STARTING_SHARE = 0.15;
+/** Share of the machines that boot from which no work, and from which no gang, is stopped for a guarantee. */
+const STARTING_SHARE = 0.3;
+const STARTING_SHARE_FOR_GANGS = 0.05;
 /** Pause after a look for work to stop that found none: it looks at every task of the fleet. */
 const LOOK_AGAIN_MS = 1000;
 /** So long only machines that list ended attempts of a job may have room for it. */
@@ -47,9 +48,9 @@
   private readonly hopeless = new Set<string>();
   private readonly full = new Set<string>();
   private readonly stops = new Map<string | null, Machine[]>();
-  /** In this pass: the tasks of each gang, and whether the fleet is starting, once they were asked for. */
+  /** In this pass: the tasks of each gang, and the share of machines that boot, once they were asked for. */
   private gangTasks: Map<string, Entry[]> | null = null;
-  private starting: boolean | null = null;
+  private bootingShare: number | null = null;
   private readonly gathering: GangGathering;
 
   constructor(
@@ -115,7 +116,7 @@
     this.full.clear();
     this.stops.clear();
     this.gangTasks = null;
-    this.starting = null;
+    this.bootingShare = null;
     this.gathering.beginPass();
     if (now - this.l.scarceAt > 1000) {
       this.l.scarceAt = now;
@@ -389,22 +390,16 @@
   }
 
   /**
-   * Work of no lower priority gives way to another team's guarantee, but not while many machines boot: there is soon room
-   * (seen on bhuj-relief-works: 1,500 tasks stopped in the first minute, most of the leader's processor time spent on
+   * Work of no lower priority gives way to another team's guarantee, but not while most of the fleet boots: there is soon
+   * room (seen on bhuj-relief-works: 1,500 tasks stopped in the first minute, most of the leader's processor time spent on
    * choosing them). A gang gives way last, since all of its tasks stop with one.
    */
   private mayClaimGuarantee(w: Want, e: Entry): boolean {
-    if (this.fleetIsStarting()) return false;
+    this.bootingShare ??= bootingRooms(this.l, this.o.clock.now()).length / Math.max(1, this.l.machines.size);
+    if (!e.gang) return this.bootingShare < STARTING_SHARE;
     const now = this.o.clock.now();
-    return !e.gang || now - (this.unmet.get(w.job) ?? now) >= STOP_GANG_AFTER_MS;
-  }
-
-  private fleetIsStarting(): boolean {
-    if (this.starting === null) {
-      const booting = bootingRooms(this.l, this.o.clock.now()).length;
-      this.starting = booting > STARTING_SHARE * this.l.machines.size;
-    }
-    return this.starting;
+    const waitedMs = now - (this.unmet.get(w.job) ?? now);
+    return this.bootingShare < STARTING_SHARE_FOR_GANGS && waitedMs >= STOP_GANG_AFTER_MS;
   }
 
   /** What would have to be stopped on a machine for one task of a want, and what is lost by it. */
--- a/src/io/http.ts
+++ b/src/io/http.ts
@@ -10,7 +10,7 @@
 import type { Sockets } from './sockets.js';
 
 /** Workers of a whole fleet come at once when a scheduler is new. */
-const BACKLOG = 2048;
+const BACKLOG = 8192;
 
 /** Spread, or all that were refused together would come back together. */
 function comeBack(): string {
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -207,3 +207,36 @@
   expect([inside.l.touched.size, rooms]).toEqual([1, 0]);
   expect(t.calls.splice(0).length).toBe(0);
 });
+
+test('a look for work to stop that found none is not repeated by each pass', () => {
+  const t = scheduler(5, { idle_s: 1e6 });
+  const all = names(100);
+  for (const m of all) {
+    t.hold({ ...t.held('run'), job: `wk-${m}`, machine: m, cpus: 3, mem: 1 });
+    t.report([{ ...listed('running'), job: `wk-${m}` }], 5, { machine: m, addr: m });
+  }
+  t.later(1000);
+  t.k.flush();
+  const inside = t.k as unknown as { placing: { offer: (...a: unknown[]) => unknown } };
+  let offers = 0;
+  const offer = inside.placing.offer.bind(inside.placing);
+  inside.placing.offer = (...a) => {
+    offers++;
+    return offer(...a);
+  };
+  // Within blue's guarantee, each of a size of its own, and on no machine that is there.
+  const want = (i: number) =>
+    makeWant(`wk-b${i}`, { team: 'blue', cpus: 3 + i / 100, types: ['big'], spot: false });
+  const wants = Array.from({ length: 20 }, (_, i) => want(i));
+  const pass = (ms: number) => {
+    offers = 0;
+    t.wants(wants);
+    t.later(ms);
+    t.k.flush();
+    return offers;
+  };
+  const looks = Array.from({ length: 8 }, () => pass(600));
+  expect(Math.max(...looks)).toBe(20 * all.length);
+  // Every second pass at most, one second after the last look.
+  expect(looks.some((n, i) => n > 0 && (looks[i + 1] ?? 0) > 0)).toBe(false);
+});
