--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -14,7 +14,7 @@
 /** So long work waits before a gang of another team is stopped for its guarantee: all tasks of a gang stop with one. */
 const STOP_GANG_AFTER_MS = 30000;
 /** Share of the machines that boot from which no work, and from which no gang, is stopped for a guarantee. */
-const STARTING_SHARE = 0.3;
+const STARTING_SHARE = 0.15;
 const STARTING_SHARE_FOR_GANGS = 0.05;
 /** Pause after a look for work to stop that found none: it looks at every task of the fleet. */
 const LOOK_AGAIN_MS = 1000;
@@ -498,7 +498,7 @@
     if (this.hopeless.has(key)) return 0;
     // Where each job has a size of its own, that saves nothing: passes took 0.4 s while 300 machines came up (seen on
     // bhuj-relief-works).
-    if (!w.service && now - (this.fruitless.get(w.job) ?? Number.NEGATIVE_INFINITY) < LOOK_AGAIN_MS) return 0;
+    if (!w.service && w.rank > 1 && now - (this.fruitless.get(w.job) ?? Number.NEGATIVE_INFINITY) < LOOK_AGAIN_MS) return 0;
     const stops = new Map<string, { job: string; idx: number; attempt: number }[]>();
     type Pick = { m: Machine; victims: Entry[]; cost: number };
     const offers: Pick[] = [];
