--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -1,9 +1,9 @@
 import { AIM_MARGIN } from './autoscale.js';
-import { bootingRooms } from './booting.js';
 import { GangGathering } from './gang-gathering.js';
 import type { Ledger, SchedulerOptions, WantRef } from './ledger.js';
-import { type Entry, type Machine, newEntry, provenAt, takesRoom } from './machine.js';
-import { allowed, emptyRoom, fill, fits, type Room, shapeKey, take } from './room.js';
+import { type Machine, newEntry, provenAt } from './machine.js';
+import { addUse, Preemption, type Usage } from './preemption.js';
+import { allowed, fill, fits, type Room, shapeKey } from './room.js';
 import type { Grant, Want } from './types.js';
 
 /** Part of an aim on waiting after which lower work is stopped for it. */
@@ -11,13 +11,6 @@
 
 /** So long nothing of a job may find room before it takes what is kept for others. */
 const STARVED_MS = 45000;
-/** So long work waits before a gang of another team is stopped for its guarantee: all tasks of a gang stop with one. */
-const STOP_GANG_AFTER_MS = 30000;
-/** Share of the machines that boot from which no work, and from which no gang, is stopped for a guarantee. */
-const STARTING_SHARE = 0.15;
-const STARTING_SHARE_FOR_GANGS = 0.05;
-/** Pause after a look for work to stop that found none: it looks at every task of the fleet. */
-const LOOK_AGAIN_MS = 1000;
 /** So long only machines that list ended attempts of a job may have room for it. */
 const LINGER_MS = 15000;
 
@@ -26,7 +19,7 @@
   rooms: Room[];
   /** Room that stops under way will free. */
   promised: Room[];
-  usage: Map<string, { cpus: number; gpus: number }>;
+  usage: Usage;
   now: number;
 }
 
@@ -40,17 +33,11 @@
   private readonly unmet = new Map<string, number>();
   /** Since when nothing at all of a job has found room. */
   private readonly nothing = new Map<string, number>();
-  /** When no work to stop was found for a job. */
-  private readonly fruitless = new Map<string, number>();
   private readonly batchShapes = new Map<string, { want: Want; mean: number }>();
   private grants = 0;
-  /** In this pass: kinds of wants that nothing can be stopped for, and kinds that find no room. */
-  private readonly hopeless = new Set<string>();
+  /** Kinds of wants that find no room in this pass. */
   private readonly full = new Set<string>();
-  private readonly stops = new Map<string | null, Machine[]>();
-  /** In this pass: the tasks of each gang, and the share of machines that boot, once they were asked for. */
-  private gangTasks: Map<string, Entry[]> | null = null;
-  private bootingShare: number | null = null;
+  private readonly preemption: Preemption;
   private readonly gathering: GangGathering;
 
   constructor(
@@ -58,6 +45,7 @@
     private readonly l: Ledger,
   ) {
     this.gathering = new GangGathering(l);
+    this.preemption = new Preemption(o, l, (job) => this.unmet.get(job));
     for (const a of o.objectives) {
       if (a.kind === 'wait') this.waits.set(a.cls, Math.min(a.withinS, this.waits.get(a.cls) ?? a.withinS));
       if (a.kind === 'guarantee') this.guaranteeS = Math.min(this.guaranteeS, a.withinS);
@@ -82,13 +70,6 @@
     for (const w of wants) if (w.service) this.l.learnShape(w);
   }
 
-  private addUse(usage: Map<string, { cpus: number; gpus: number }>, w: Want): void {
-    const u = usage.get(w.team);
-    if (!u) return;
-    u.cpus += w.cpus;
-    u.gpus += w.gpus;
-  }
-
   /** The zone with the fewest types, then the least ordinary room, while jobs must be spread over zones. */
   private findScarceZone(): string | null {
     let spread = false;
@@ -112,11 +93,8 @@
 
   pass(now: number): { want: Want; count: number }[] {
     this.l.refresh();
-    this.hopeless.clear();
     this.full.clear();
-    this.stops.clear();
-    this.gangTasks = null;
-    this.bootingShare = null;
+    this.preemption.beginPass();
     this.gathering.beginPass();
     if (now - this.l.scarceAt > 1000) {
       this.l.scarceAt = now;
@@ -164,7 +142,7 @@
       if (key !== null && this.full.has(key)) return count;
       const left = fill(rooms, want, count, scarce, (r) => {
         const m = this.l.machines.get(r.name) as Machine;
-        this.addUse(usage, want);
+        addUse(usage, want);
         const g = this.grant(m, want, now);
         const l = grants.get(inst);
         if (l) l.push(g);
@@ -182,8 +160,8 @@
         // A replica that has to fetch its image is late by far more than one that waits for a task to stop.
         const warm = (r: Room) => r.images?.has(want.image) === true;
         open = place(ref, open, warmRooms(want.image));
-        if (open > 0) open = fill(promised.filter(warm), want, open, scarce, () => this.addUse(usage, want));
-        if (open > 0 && ready) open -= this.preempt(want, open, usage, now, true);
+        if (open > 0) open = fill(promised.filter(warm), want, open, scarce, () => addUse(usage, want));
+        if (open > 0 && ready) open -= this.preemption.preempt(want, open, usage, now, true);
       }
       open = place(ref, open, list);
       if (open < count) this.nothing.delete(want.job);
@@ -195,7 +173,7 @@
       const key = `${shapeKey(want)}|promised`;
       let waiting = open;
       if (!this.full.has(key)) {
-        waiting = fill(promised, want, open, scarce, () => this.addUse(usage, want));
+        waiting = fill(promised, want, open, scarce, () => addUse(usage, want));
         if (waiting === open && want.avoid.length === 0) this.full.add(key);
       }
       if (waiting <= 0) return;
@@ -203,7 +181,7 @@
       const since = this.unmet.get(want.job) ?? now;
       this.unmet.set(want.job, since);
       if (ready && now - since >= this.stopAfterMs(want, ref.inside))
-        waiting -= this.preempt(want, waiting, usage, now);
+        waiting -= this.preemption.preempt(want, waiting, usage, now);
       // What room is being freed for needs no machine.
       if (waiting > 0) left.push({ want, count: waiting });
     };
@@ -244,7 +222,7 @@
     this.gathering.endPass(wanted);
     for (const job of this.unmet.keys()) if (!wanted.has(job)) this.unmet.delete(job);
     for (const job of this.nothing.keys()) if (!wanted.has(job)) this.nothing.delete(job);
-    for (const job of this.fruitless.keys()) if (!wanted.has(job)) this.fruitless.delete(job);
+    this.preemption.endPass(wanted);
     for (const m of this.l.reserved)
       if (!m.reserved || !wanted.has(m.reserved.job)) {
         m.reserved = null;
@@ -265,11 +243,11 @@
     const { want } = ref;
     const { rooms, promised, usage, now } = pass;
     const { task, missing } = this.gathering.reserve(rooms, want, count, now);
-    let waiting = fill(promised, task, missing, this.l.scarce, () => this.addUse(usage, want));
+    let waiting = fill(promised, task, missing, this.l.scarce, () => addUse(usage, want));
     const since = this.unmet.get(want.job) ?? now;
     this.unmet.set(want.job, since);
     const mayStop = this.o.entitled() && now - since >= this.stopAfterMs(want, ref.inside);
-    if (waiting > 0 && mayStop) waiting -= this.preempt(task, waiting, usage, now);
+    if (waiting > 0 && mayStop) waiting -= this.preemption.preempt(task, waiting, usage, now);
     return waiting > 0 ? [{ want: task, count: waiting }] : [];
   }
 
@@ -373,176 +351,4 @@
     if (Number.isFinite(aim)) return aim * 1000 * STOP_AFTER;
     return Math.min(5, w.patienceS ?? 0) * 1000;
   }
-
-  /** `less`: CPUs of the team's tasks that are chosen already. */
-  private mayStop(w: Want, e: Entry, usage: Map<string, { cpus: number; gpus: number }>, less = 0): boolean {
-    if (e.want !== 'run' || e.evicting || e.settled) return false;
-    // Services give way to nothing below them, whatever team they belong to.
-    if (e.rank === 0) return false;
-    if (e.team === w.team || w.rank === 0) return e.rank > w.rank;
-    const t = this.o.teams.get(e.team);
-    const u = usage.get(e.team);
-    const beyond = !!t && !!u && u.cpus - less > t.cpus + 1e-9;
-    const within = this.l.within(usage.get(w.team), w.team, w);
-    // A guarantee goes before rank: were it otherwise, each of two teams could stop the other for ever.
-    if (e.rank > w.rank) return beyond || within;
-    return beyond && within && this.mayClaimGuarantee(w, e);
-  }
-
-  /**
-   * Work of no lower priority gives way to another team's guarantee, but not while most of the fleet boots: there is soon
-   * room (seen on bhuj-relief-works: 1,500 tasks stopped in the first minute, most of the leader's processor time spent on
-   * choosing them). A gang gives way last, since all of its tasks stop with one.
-   */
-  private mayClaimGuarantee(w: Want, e: Entry): boolean {
-    this.bootingShare ??= bootingRooms(this.l, this.o.clock.now()).length / Math.max(1, this.l.machines.size);
-    if (!e.gang) return this.bootingShare < STARTING_SHARE;
-    const now = this.o.clock.now();
-    const waitedMs = now - (this.unmet.get(w.job) ?? now);
-    return this.bootingShare < STARTING_SHARE_FOR_GANGS && waitedMs >= STOP_GANG_AFTER_MS;
-  }
-
-  /** What would have to be stopped on a machine for one task of a want, and what is lost by it. */
-  private offer(
-    m: Machine,
-    w: Want,
-    usage: Map<string, { cpus: number; gpus: number }>,
-    now: number,
-  ): { m: Machine; victims: Entry[]; cost: number } | null {
-    const t = this.l.types.get(m.type);
-    if (!t) return null;
-    const r = emptyRoom(t, m.zone, m.spot, m.name);
-    if (!allowed(r, w) || w.avoid.includes(m.name)) return null;
-    const may: Entry[] = [];
-    for (const e of m.entries.values()) {
-      // Room that is being freed was promised before.
-      if (!takesRoom(e)) continue;
-      take(r, e);
-      if (!e.evicting && e.want !== 'stop' && this.mayStop(w, e, usage)) may.push(e);
-    }
-    may.sort((a, b) => b.rank - a.rank || b.since - a.since);
-    const victims: Entry[] = [];
-    const less = new Map<string, number>();
-    for (const e of may) {
-      if (fits(r, w)) break;
-      // A team a little beyond its guarantee must not lose more than that: it would claim it back, and so for ever.
-      const gone = less.get(e.team) ?? 0;
-      if (!this.mayStop(w, e, usage, gone)) continue;
-      less.set(e.team, gone + e.cpus);
-      victims.push(e);
-      r.cpus += e.cpus;
-      r.gpus += e.gpus;
-      r.mem += e.mem;
-    }
-    if (!fits(r, w) || victims.length === 0) return null;
-    let cost = m.images.has(w.image) ? 0 : w.imageGb * 20;
-    for (const e of victims)
-      for (const task of this.stoppedWith(e))
-        cost += (task.cpus * (now - task.since)) / 1000 + (3 - e.rank) * 30;
-    return { m, victims, cost };
-  }
-
-  /** All tasks that end when one is stopped: those of its gang, or itself. */
-  private stoppedWith(e: Entry): readonly Entry[] {
-    if (!e.gang) return [e];
-    this.gangTasks ??= this.findGangTasks();
-    return this.gangTasks.get(e.job) ?? [e];
-  }
-
-  private findGangTasks(): Map<string, Entry[]> {
-    const tasks = new Map<string, Entry[]>();
-    for (const m of this.l.machines.values())
-      for (const e of m.entries.values()) {
-        if (!e.gang || e.want !== 'run' || e.settled) continue;
-        const gang = tasks.get(e.job);
-        if (gang) gang.push(e);
-        else tasks.set(e.job, [e]);
-      }
-    return tasks;
-  }
-
-  /** Machines with work that may be stopped, of this pass; with an image: those that hold it. */
-  private stoppable(now: number, image: string | null): Machine[] {
-    if (this.stops.size === 0) {
-      const all: Machine[] = [];
-      this.stops.set(null, all);
-      for (const m of this.l.machines.values()) {
-        if (m.sum.batch.cpus <= 0 || !this.l.usable(m, now)) continue;
-        all.push(m);
-        for (const name of m.images.keys()) {
-          const l = this.stops.get(name);
-          if (l) l.push(m);
-          else this.stops.set(name, [m]);
-        }
-      }
-    }
-    return this.stops.get(image) ?? [];
-  }
-
-  /** Stops lower work so that `count` tasks of a want find room; least lost work first. */
-  private preempt(
-    w: Want,
-    count: number,
-    usage: Map<string, { cpus: number; gpus: number }>,
-    now: number,
-    warmOnly = false,
-  ): number {
-    if (w.whole) return 0;
-    const inside = this.l.within(usage.get(w.team), w.team, w);
-    let lower = false;
-    for (let k = w.rank + 1; k < 4; k++) if (this.l.total.ranks[k]! > 0) lower = true;
-    if (!lower && !inside) return 0;
-    // A pass with hundreds of replicas without room looked at every machine for each of them: half a scheduler's time at
-    // two thousand machines. What one want could not be made room for, others like it can't be either.
-    const key = `${shapeKey(w)}|${inside}|${warmOnly ? w.image : ''}`;
-    if (this.hopeless.has(key)) return 0;
-    // Where each job has a size of its own, that saves nothing: passes took 0.4 s while 300 machines came up (seen on
-    // bhuj-relief-works).
-    if (!w.service && w.rank > 1 && now - (this.fruitless.get(w.job) ?? Number.NEGATIVE_INFINITY) < LOOK_AGAIN_MS) return 0;
-    const stops = new Map<string, { job: string; idx: number; attempt: number }[]>();
-    type Pick = { m: Machine; victims: Entry[]; cost: number };
-    const offers: Pick[] = [];
-    for (const m of this.stoppable(now, warmOnly ? w.image : null)) {
-      const { batch, free } = m.sum;
-      if (batch.cpus + free.cpus + 1e-9 < w.cpus || batch.mem + free.mem + 1e-9 < w.mem) continue;
-      const o = this.offer(m, w, usage, now);
-      if (o) offers.push(o);
-    }
-    // Cheapest last; one that is taken may have more to offer, at a higher cost.
-    offers.sort((a, b) => b.cost - a.cost);
-    let picked = 0;
-    for (; picked < count; picked++) {
-      const pick = offers.pop();
-      if (!pick) break;
-      this.addUse(usage, w);
-      // What is freed is for this want; lower work would only have to be stopped again.
-      pick.m.reserved = { job: w.job, rank: w.rank, until: now + 5000 };
-      this.l.reserved.add(pick.m);
-      this.l.touch(pick.m);
-      for (const e of pick.victims.flatMap((victim) => this.stoppedWith(victim))) {
-        if (e.evicting) continue;
-        e.evicting = now;
-        this.l.evictions.add(e);
-        const m = this.l.machines.get(e.machine);
-        if (m) this.l.touch(m);
-        const u = usage.get(e.team);
-        if (u) u.cpus -= e.cpus;
-        const inst = this.l.owners.get(e.team)?.inst;
-        if (!inst) continue;
-        const l = stops.get(inst) ?? [];
-        l.push({ job: e.job, idx: e.idx, attempt: e.attempt });
-        stops.set(inst, l);
-      }
-      const again = this.offer(pick.m, w, usage, now);
-      if (!again) continue;
-      let at = offers.length;
-      while (at > 0 && offers[at - 1]!.cost < again.cost) at--;
-      offers.splice(at, 0, again);
-    }
-    if (picked < count && w.avoid.length === 0) this.hopeless.add(key);
-    if (picked === 0) this.fruitless.set(w.job, now);
-    for (const [inst, tasks] of stops)
-      this.o.send(inst, { k: 'evict', token: this.l.token, tasks, why: `room for ${w.job}` });
-    return picked;
-  }
 }
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -178,12 +178,12 @@
   t.later(1000);
   t.k.flush();
   const inside = t.k as unknown as {
-    placing: { offer: (...a: unknown[]) => unknown };
+    placing: { preemption: { offer: (...a: unknown[]) => unknown } };
     l: { touched: Set<unknown>; roomOf: (...a: unknown[]) => unknown };
   };
   let offers = 0;
-  const offer = inside.placing.offer.bind(inside.placing);
-  inside.placing.offer = (...a) => {
+  const offer = inside.placing.preemption.offer.bind(inside.placing.preemption);
+  inside.placing.preemption.offer = (...a) => {
     offers++;
     return offer(...a);
   };
@@ -217,10 +217,10 @@
   }
   t.later(1000);
   t.k.flush();
-  const inside = t.k as unknown as { placing: { offer: (...a: unknown[]) => unknown } };
+  const inside = t.k as unknown as { placing: { preemption: { offer: (...a: unknown[]) => unknown } } };
   let offers = 0;
-  const offer = inside.placing.offer.bind(inside.placing);
-  inside.placing.offer = (...a) => {
+  const offer = inside.placing.preemption.offer.bind(inside.placing.preemption);
+  inside.placing.preemption.offer = (...a) => {
     offers++;
     return offer(...a);
   };
