--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1,6 +1,7 @@
+import { FailureDetector } from './failure-detector.js';
 import { Fleet } from './fleet.js';
 import { Ledger, type SchedulerOptions } from './ledger.js';
-import { type Entry, isNewer, lingering, type Machine, newEntry, provenAt } from './machine.js';
+import { type Entry, isNewer, lingering, type Machine, newEntry } from './machine.js';
 import { Placing } from './placing.js';
 import type { Policy } from './policy.js';
 import type {
@@ -20,16 +21,13 @@
 const REAP_MS = 20000;
 /** Tasks that a machine lists from which a higher token is taken, to remove those that ended: a report holds some 600. */
 const MOST_KEPT = 300;
-/** So long after its lease a machine that answers but does not report is kept: it may lag in ending its tasks. */
-const MUTE_MS = 5000;
-/** Part of a zone's machines that are silent when the zone is taken for cut off. */
-const CUT_SHARE = 0.6;
 
 /** The elected leader's part: machines, reports, room. It stores nothing; owners and workers tell it all. */
 export class Scheduler {
   private readonly l: Ledger;
   private readonly placing: Placing;
   private readonly fleet: Fleet;
+  private readonly failures: FailureDetector;
   /** Machines to which something may have to be sent. */
   private readonly toDirect = new Set<Machine>();
   private readonly parts = new Map<string, { sync: number; next: number; held: Held[] }>();
@@ -43,13 +41,17 @@
   private listing = false;
   private removeBusy = false;
   private removeRetryAt = 0;
-  private suspectSince = 0;
   private readonly removeQueue = new Set<string>();
 
   constructor(private readonly o: SchedulerOptions) {
     this.l = new Ledger(o);
     this.placing = new Placing(o, this.l);
     this.fleet = new Fleet(o, this.l, (m, why) => this.remove(m, why));
+    this.failures = new FailureDetector(o, this.l, {
+      probe: (m) => this.direct(m, true),
+      remove: (m, why) => this.remove(m, why),
+      keeps: (m, rooms, now) => this.fleet.waitFor(m, rooms, now),
+    });
   }
 
   get token(): number {
@@ -739,105 +741,9 @@
     }
   }
 
-  /** Machines that asked siblings, as those tell: alive, whatever this controller hears of them. */
+  /** Machines that asked siblings, as those tell. */
   strayed(names: string[]): void {
-    const now = this.o.clock.now();
-    for (const name of names) {
-      const m = this.l.machines.get(name);
-      if (m) m.strayAt = now;
-    }
-  }
-
-  /** Silent machines: asked directly, then deleted, unless the fault may be here or a whole zone is cut off. */
-  private watchSilence(now: number): void {
-    const report = this.o.workers.reportS * 1000;
-    const lease = this.o.workers.leaseS * 1000;
-    const probeAfter = report * 1.25 + 1000;
-    const silentMs = this.l.policyNow.silent_s * 1000;
-    const silent: Machine[] = [];
-    const zones = new Map<string, { quiet: number; all: number }>();
-    let heard = 0;
-    let counted = 0;
-    let strays = 0;
-    let answering = 0;
-    for (const m of this.l.machines.values()) {
-      if (m.removing || (!m.up && m.entries.size === 0)) continue;
-      counted++;
-      let zone = zones.get(m.zone);
-      if (!zone) {
-        zone = { quiet: 0, all: 0 };
-        zones.set(m.zone, zone);
-      }
-      zone.all++;
-      // Workers need some time to find a new scheduler.
-      // One that is heard but does not hear counts as silent from when that began.
-      // Reports alone renew leases: one that only answers is mute, and dies of its lease.
-      const proven = provenAt(m);
-      const alive = m.deaf >= 2 ? Math.min(proven, m.deafSince) : proven;
-      const quiet = now - Math.max(alive, this.l.startedAt + report);
-      if (m.deaf === 1 && m.addr !== '' && now - m.probeAt > 2000) this.direct(m, true);
-      if (quiet < probeAfter) {
-        heard++;
-        continue;
-      }
-      const mute = m.heardAt > proven && now - m.heardAt < probeAfter;
-      if (mute) answering++;
-      else zone.quiet++;
-      if (m.addr !== '' && now - m.probeAt > 2000 && !m.directBusy) this.direct(m, true);
-      if (m.strayAt > proven + 2000 && now - m.strayAt < 2 * probeAfter) {
-        strays++;
-        if (quiet < lease) continue;
-      }
-      // A mute machine is left its tasks as long as they may live: the trouble may end before its lease does.
-      if (quiet > (mute ? lease + MUTE_MS : silentMs) && (mute || m.probeFails > 0 || m.addr === ''))
-        silent.push(m);
-    }
-    this.judgeZones(zones);
-    // They reach siblings and not this controller: it was cut off from its workers, and waiting for them to fall
-    // silent one after the other cost two thirds of the fleet (seen on rekrut-szkoly-fleet, apart).
-    if (strays > Math.max(2, heard) && now - this.l.startedAt > probeAfter + 6000)
-      return this.o.resign('workers reach siblings only');
-    if (silent.length === 0) {
-      this.suspectSince = 0;
-      return;
-    }
-    const quiet = counted - heard;
-    const many = quiet > Math.max(2, counted * this.l.policyNow.silent_share) && heard < quiet;
-    // Siblings in reach to whom none of them has turned bear out that it is the machines.
-    const borneOut = heard > 0 && this.o.siblings() > 0 && strays < quiet * 0.1;
-    if (!many || borneOut) {
-      const rooms = this.l.reserveRooms(now);
-      for (const m of silent) if (!this.fleet.waitFor(m, rooms, now)) this.remove(m, 'silent');
-      return;
-    }
-    if (this.suspectSince === 0) {
-      this.suspectSince = now;
-      this.o.log.info(
-        { silent: silent.length, heard, strays },
-        'many machines silent at once: suspecting this controller',
-      );
-    }
-    // What answers is in reach: then it is the workers that reach nobody, and another leader would hear no more.
-    if (heard === 0 && answering * 2 < quiet && now - this.suspectSince > report) {
-      this.suspectSince = now;
-      this.o.resign('no machine can be heard');
-      return;
-    }
-    // Past their lease their tasks are dead in any case.
-    for (const m of silent)
-      if (now - Math.max(provenAt(m), this.l.startedAt) > lease + MUTE_MS)
-        this.remove(m, 'silent past its lease');
-  }
-
-  /** A zone that falls silent as a whole while others are heard is cut off, and may well go on working inside. */
-  private judgeZones(zones: Map<string, { quiet: number; all: number }>): void {
-    // What no list has told of yet has no zone.
-    zones.delete('');
-    const cut = [...zones].filter(([, z]) => z.all >= 3 && z.quiet > z.all * CUT_SHARE).map(([name]) => name);
-    const now = cut.length < zones.size ? cut : [];
-    for (const z of now)
-      if (!this.l.cutZones.has(z)) this.o.log.info({ zone: z }, 'zone seems to be cut off');
-    this.l.cutZones = new Set(now);
+    this.failures.strayed(names);
   }
 
   private watchDoubt(now: number): void {
@@ -892,7 +798,7 @@
     for (const m of this.l.machines.values())
       if (m.sum.todo || (m.strangers.size > 0 && m.up)) this.toDirect.add(m);
     this.pollList(now);
-    this.watchSilence(now);
+    this.failures.watch(now);
     this.watchDoubt(now);
     this.forgetEvictions(now);
     this.askUnsynced(now);
