Tests that fail: a write in doubt is lost from a team's count, and may be carried out after its jobs were read again

An owner that can't tell whether a transaction was carried out reads its jobs again. Until then it counts what was placed as free (a full telling drops it), and after it nothing keeps the transaction from being carried out late.

No change of behaviour.

--- /dev/null
+++ b/test/write-doubt.test.ts
@@ -0,0 +1,45 @@
+import { expect, test } from 'vitest';
+import type { Team } from '../src/core/types.js';
+import { job } from './standin/day.js';
+import { OwnerStandin } from './standin/owner.js';
+import { World } from './standin/world.js';
+
+// Transactions of an owner that get no answer: they may have been carried out, or may yet be.
+
+const CPUS = 4;
+const LIMIT_TASKS = 10;
+const TEAM: Team = { name: 'red', cpus: 0, cpusMax: CPUS * LIMIT_TASKS, gpus: 0, gpusMax: 0 };
+const world = new World(1);
+const specs = ['wk-000001', 'wk-000002', 'wk-000003'].map((id) =>
+  job(world, { id, tasks: LIMIT_TASKS, cpus: CPUS }),
+);
+const cpus = () => CPUS;
+
+test('what a write in doubt places counts against the limit while other jobs of that write are read again', () => {
+  const standin = new OwnerStandin(TEAM, specs);
+  standin.losses.push('carried out at once');
+  standin.grant('wk-000001', 5);
+  standin.grant('wk-000002', 5);
+  standin.heldReads = 'open/wk-000002';
+  // The first job has been read again, which makes the owner tell all it holds; the second has not.
+  standin.run(3000);
+  expect(standin.said.filter((message) => message.k === 'sync').length).toBeGreaterThan(1);
+  standin.grant('wk-000003', 5);
+  standin.run(1000);
+  standin.release();
+  standin.run(3000);
+  expect(standin.storedPlacements()).toEqual({ 'wk-000001': 5, 'wk-000002': 5 });
+});
+
+test('a write that was not found when its jobs were read again is never carried out later', () => {
+  const standin = new OwnerStandin(TEAM, specs);
+  standin.losses.push('carried out late');
+  standin.grant('wk-000001', 5);
+  standin.grant('wk-000002', 5);
+  standin.run(3000);
+  standin.grant('wk-000003', LIMIT_TASKS);
+  standin.run(3000);
+  expect(standin.storedPlacements()).toEqual({ 'wk-000003': LIMIT_TASKS });
+  standin.carryOutLate();
+  expect(standin.storedCpus(cpus)).toBeLessThanOrEqual(TEAM.cpusMax);
+});
