Logs tell each team's use by cause, and writes in doubt; reading of stored jobs is a module of its own

Need: the records of the incident could not tell what a team's use was when a placement was admitted, nor which placements a write in doubt had. The owner's two readers of stored jobs were the same code; now readStoredJobs. Decisions do not change.

--- /dev/null
+++ b/src/core/limited-log.ts
@@ -0,0 +1,47 @@
+import type { Clock, Fields, Logger } from './types.js';
+
+/** Lines of one message let through in a window. */
+const LINES_PER_WINDOW = 20;
+const WINDOW_MS = 10_000;
+
+interface Window {
+  from: number;
+  lines: number;
+  suppressed: number;
+}
+
+/**
+ * Keeps lines that a trouble repeats from drowning the others: of each message at most 20 lines in 10 s. The first line of the
+ * next window says in `suppressed` how many were left out.
+ */
+export class LimitedLog {
+  private readonly windows = new Map<string, Window>();
+
+  constructor(
+    private readonly log: Logger,
+    private readonly clock: Clock,
+  ) {}
+
+  info(fields: Fields, message: string): void {
+    const extra = this.admit(message);
+    if (extra) this.log.info({ ...fields, ...extra }, message);
+  }
+
+  /** Fields to add; null: the line is left out. */
+  private admit(message: string): Fields | null {
+    const now = this.clock.now();
+    let window = this.windows.get(message);
+    let extra: Fields = {};
+    if (!window || now - window.from >= WINDOW_MS) {
+      if (window && window.suppressed > 0) extra = { suppressed: window.suppressed };
+      window = { from: now, lines: 0, suppressed: 0 };
+      this.windows.set(message, window);
+    }
+    if (window.lines >= LINES_PER_WINDOW) {
+      window.suppressed++;
+      return null;
+    }
+    window.lines++;
+    return extra;
+  }
+}
--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -38,7 +38,9 @@
   writeFinal,
 } from './job-writes.js';
 import { ReleaseOrder } from './release-order.js';
-import { TeamUsage, tasksWithin } from './team-usage.js';
+import { readStoredJobs } from './stored-jobs.js';
+import { TeamUsage, tasksWithin, type UsageCause } from './team-usage.js';
+import { UsageLog } from './usage-log.js';
 import { listWants } from './wants.js';
 import { WriteFence } from './write-fence.js';
 
@@ -65,6 +67,9 @@
   wake(): void;
 }
 
+/** Pause before a read that failed is repeated. */
+const RETRY_MS = 300;
+
 /** Most placements told in one message. */
 const SYNC_PART = 400;
 
@@ -92,6 +97,7 @@
   private coveredTold = Number.NEGATIVE_INFINITY;
   private readonly order: ReleaseOrder;
   private readonly fence: WriteFence;
+  private readonly usageLog: UsageLog;
   private readonly archived = new Set<string>();
   private readonly chunk: number;
   private readonly window: number;
@@ -112,6 +118,7 @@
     this.chunk = chunkSize(o.valueKb);
     this.order = new ReleaseOrder(o.objectives);
     this.usage = new TeamUsage(o.teams);
+    this.usageLog = new UsageLog(this.usage, o.clock, o.log);
     this.window = releaseWindow(o.valueKb);
     this.fence = new WriteFence({
       key: `fence/${o.host}`,
@@ -152,18 +159,18 @@
   }
 
   private letGo(j: OwnedJob): void {
-    this.usage.remove(j.spec, j.placed.size);
+    this.usage.remove(j.spec, 'let_go', j.placed.size);
     this.jobs.delete(j.spec.id);
     this.dirty.delete(j);
   }
 
-  private putPlaced(j: OwnedJob, p: Placement): void {
+  private putPlaced(j: OwnedJob, p: Placement, cause: UsageCause): void {
     j.placed.set(p.idx, p);
-    this.usage.add(j.spec);
+    this.usage.add(j.spec, cause);
   }
 
-  private dropPlaced(j: OwnedJob, p: Placement): void {
-    if (j.placed.delete(p.idx)) this.usage.remove(j.spec);
+  private dropPlaced(j: OwnedJob, p: Placement, cause: UsageCause): void {
+    if (j.placed.delete(p.idx)) this.usage.remove(j.spec, cause);
   }
 
   /** Something of a job is to be written within `ms`. */
@@ -184,6 +191,7 @@
   setScheduler(token: number): void {
     if (token <= this.token) return;
     this.token = token;
+    this.o.log.info({ token }, 'owner heeds leader');
     this.marks.clear();
     this.coveredTold = Number.NEGATIVE_INFINITY;
     this.lastGrant = 0;
@@ -205,45 +213,31 @@
     if (wanted.length === 0) return;
     for (const [, t] of wanted) t.loading = true;
     this.fence.learn();
-    const found = new Map<string, StoredJob>();
-    const failed = () => {
+    readStoredJobs(this.o.state, null, (found) => {
       for (const [, t] of wanted) t.loading = false;
-      this.o.clock.after(300, () => this.o.wake());
-    };
-    const page = (prefix: string, since: string, done: () => void) => {
-      this.o.state.list(prefix, since, URGENCY.user, (r) => {
-        if (!r.ok) return failed();
-        for (const it of r.value.items) readJob(found, it);
-        const last = r.value.items.at(-1);
-        if (r.value.more && last) page(prefix, last.key, done);
-        else done();
-      });
-    };
-    // Jobs first, placements second: an owner's records can only have grown less since the team record
-    // changed, and a job cancelled in between is noticed by its version.
-    page('open/', 'open/', () =>
-      page('place/', 'place/', () => {
-        for (const [name, t] of wanted) {
-          if (this.teams.get(name) !== t) continue;
-          t.loading = false;
-          t.loaded = true;
-          let n = 0;
-          for (const s of found.values()) {
-            if (s.spec?.team !== name) continue;
-            this.adopt(s);
-            n++;
-          }
-          this.o.log.info({ team: name, jobs: n, gen: t.gen }, 'team loaded');
-        }
-        // Jobs accepted between the listing and now were shown by the watch before the team was loaded.
-        for (const [key, it] of this.o.openItems()) {
-          const [, id, part] = key.split('/');
-          if (id && part === 'a') this.openChanged(id, part, it.value, it.version);
-        }
-        this.needSync = true;
-        this.o.wake();
-      }),
-    );
+      if (!found) return void this.o.clock.after(RETRY_MS, () => this.o.wake());
+      for (const [name, t] of wanted) if (this.teams.get(name) === t) this.loadTeam(name, t, found);
+      // Jobs accepted between the listing and now were shown by the watch before the team was loaded.
+      for (const [key, it] of this.o.openItems()) {
+        const [, id, part] = key.split('/');
+        if (id && part === 'a') this.openChanged(id, part, it.value, it.version);
+      }
+      this.needSync = true;
+      this.o.wake();
+    });
+  }
+
+  private loadTeam(
+    name: string,
+    team: { gen: number; loaded: boolean },
+    found: Map<string, StoredJob>,
+  ): void {
+    team.loaded = true;
+    const jobs = [...found.values()].filter(({ spec }) => spec?.team === name);
+    for (const job of jobs) this.adopt(job);
+    const fields = { team: name, jobs: jobs.length, gen: team.gen, ...this.usage.describe(name) };
+    this.o.log.info(fields, 'team loaded');
+    this.usageLog.checkLimit(name);
   }
 
   private adopt(s: StoredJob): void {
@@ -258,17 +252,21 @@
         const idx = Number(k);
         j.attempts.set(idx, p[0]);
         if (p.length < 4 || j.count.has(idx)) continue;
-        this.putPlaced(j, {
-          idx,
-          attempt: p[0],
-          machine: p[1] as string,
-          season: p[2] as number,
-          zone: p[3] as string,
-          grant: 0,
-          stored: true,
-          want: j.cancelled ? 'stop' : 'run',
-          running: old?.placed.get(idx)?.running ?? false,
-        });
+        this.putPlaced(
+          j,
+          {
+            idx,
+            attempt: p[0],
+            machine: p[1] as string,
+            season: p[2] as number,
+            zone: p[3] as string,
+            grant: 0,
+            stored: true,
+            want: j.cancelled ? 'stop' : 'run',
+            running: old?.placed.get(idx)?.running ?? false,
+          },
+          'read',
+        );
       }
     }
     if (spec.shape === 'gang' && j.count.full) for (const p of j.placed.values()) p.want = 'stop';
@@ -286,36 +284,32 @@
   private reload(j: OwnedJob, inDoubt = false): void {
     if (j.reloading) return;
     j.reloading = true;
-    const id = j.spec.id;
-    const found = new Map<string, StoredJob>();
-    const again = () => this.o.clock.after(300, () => this.jobs.get(id) === j && read());
-    const page = (prefix: string, since: string, done: () => void) => {
-      this.o.state.list(prefix, since, URGENCY.user, (r) => {
-        if (!r.ok) return void again();
-        for (const it of r.value.items) readJob(found, it);
-        const last = r.value.items.at(-1);
-        if (r.value.more && last) page(prefix, last.key, done);
-        else done();
+    const { id } = j.spec;
+    const since = this.o.clock.now();
+    const read = () =>
+      readStoredJobs(this.o.state, id, (found) => {
+        if (this.jobs.get(id) !== j) return;
+        if (!found) return void this.o.clock.after(RETRY_MS, () => this.jobs.get(id) === j && read());
+        this.reloaded(j, found.get(id));
+        const now = this.jobs.get(id);
+        if (inDoubt && now) this.usageLog.resolved(now, j, since);
       });
-    };
-    const read = () => {
-      found.clear();
-      page(`open/${id}/`, `open/${id}/`, () =>
-        page(`place/${id}/`, `place/${id}/`, () => {
-          if (this.jobs.get(id) !== j) return;
-          const s = found.get(id);
-          if (!s?.spec) this.forget(id);
-          else this.adopt(s);
-          this.o.log.debug({ job: id, found: !!s?.spec }, 'job read again');
-          this.needSync = true;
-          this.o.wake();
-        }),
-      );
-    };
     if (inDoubt) this.fence.move(read);
     else read();
   }
 
+  private reloaded(j: OwnedJob, stored: StoredJob | undefined): void {
+    const { id, team } = j.spec;
+    if (stored?.spec) this.adopt(stored);
+    else this.forget(id);
+    const { jobRevision, counterRevision, places } = stored ?? {};
+    const revisions = { job: jobRevision, counter: counterRevision, places: places?.size };
+    this.o.log.debug({ job: id, found: !!stored?.spec, revisions }, 'job read again');
+    this.usageLog.checkLimit(team);
+    this.needSync = true;
+    this.o.wake();
+  }
+
   private forget(id: string): void {
     const j = this.jobs.get(id);
     if (j) this.letGo(j);
@@ -363,7 +357,7 @@
     for (const p of [...j.placed.values()]) {
       if (!p.stored && !isInDoubt(j)) {
         this.outDrop.grants.push(p.grant);
-        this.dropPlaced(j, p);
+        this.dropPlaced(j, p, 'returned');
       } else this.stop(j, p, 0);
     }
     this.mark(j, 0);
@@ -444,17 +438,21 @@
     );
     if (idx < 0) return false;
     const attempt = j.spec.shape === 'gang' ? gangAttempt(j) : (j.attempts.get(idx) ?? 0) + 1;
-    this.putPlaced(j, {
-      idx,
-      attempt,
-      machine: g.machine,
-      season: g.season,
-      zone: g.zone,
-      grant: g.id,
-      stored: false,
-      want: 'run',
-      running: false,
-    });
+    this.putPlaced(
+      j,
+      {
+        idx,
+        attempt,
+        machine: g.machine,
+        season: g.season,
+        zone: g.zone,
+        grant: g.id,
+        stored: false,
+        want: 'run',
+        running: false,
+      },
+      'granted',
+    );
     j.dirtyChunks.add(Math.floor(idx / this.chunk));
     this.mark(j, 0);
     return true;
@@ -530,7 +528,7 @@
 
   private settle(j: OwnedJob, p: Placement, why: string): void {
     if (p.running) j.shownRunning--;
-    this.dropPlaced(j, p);
+    this.dropPlaced(j, p, why === 'gone' ? 'gone' : 'ended');
     j.attempts.set(p.idx, Math.max(p.attempt, j.attempts.get(p.idx) ?? 0));
     j.toReap.push({ placement: p, listed: why !== 'gone' });
     if (isOver(j)) this.mark(j, 0);
@@ -573,6 +571,7 @@
     this.write('work');
     this.write('tidy');
     this.tell();
+    this.usageLog.look(this.teams.keys(), this.jobs.values());
   }
 
   private wakeAt(at: number): void {
@@ -676,7 +675,7 @@
       if (isInDoubt(j)) continue;
       for (const p of [...j.placed.values()]) {
         if (p.stored) continue;
-        this.dropPlaced(j, p);
+        this.dropPlaced(j, p, 'returned');
         this.mark(j, 0);
         j.fan.giveBack(p.idx);
       }
@@ -766,6 +765,7 @@
           this.o.clock.after(210, () => this.o.wake());
         }
         const inDoubt = r.kind !== 'conflict' && r.kind !== 'bad';
+        if (inDoubt) this.usageLog.inDoubt(part, fence.version);
         for (const j of part) if (this.jobs.get(j.spec.id) === j) this.reload(j, inDoubt);
       }
       this.o.wake();
@@ -783,7 +783,15 @@
     if (j.cancelled) p.want = 'stop';
     this.outHeld.push(heldOf(j, p, p.want, 0, p.grant));
     this.o.log.debug(
-      { job: j.spec.id, idx: p.idx, attempt: p.attempt, machine: p.machine },
+      {
+        job: j.spec.id,
+        idx: p.idx,
+        attempt: p.attempt,
+        machine: p.machine,
+        team: j.spec.team,
+        grant: p.grant,
+        ...this.usage.describe(j.spec.team),
+      },
       'placement stored',
     );
   }
--- /dev/null
+++ b/src/core/owner/stored-jobs.ts
@@ -0,0 +1,35 @@
+import { readJob, type StoredJob } from '../records.js';
+import { type StatePort, URGENCY } from '../types.js';
+
+/** Jobs by id, as their stored records tell; null: a read failed. */
+export type StoredJobsThen = (found: Map<string, StoredJob> | null) => void;
+
+/**
+ * Reads the records of one job, or of all. Jobs come first and placements second: a job cancelled in between is noticed by its
+ * version, and whoever reads knows that nobody else places its tasks meanwhile.
+ */
+export function readStoredJobs(state: StatePort, id: string | null, then: StoredJobsThen): void {
+  const found = new Map<string, StoredJob>();
+  const suffix = id === null ? '' : `${id}/`;
+  readPages(state, `open/${suffix}`, found, (ok) => {
+    if (!ok) return then(null);
+    readPages(state, `place/${suffix}`, found, (placesOk) => then(placesOk ? found : null));
+  });
+}
+
+function readPages(
+  state: StatePort,
+  prefix: string,
+  found: Map<string, StoredJob>,
+  then: (ok: boolean) => void,
+): void {
+  const page = (since: string) =>
+    state.list(prefix, since, URGENCY.user, (result) => {
+      if (!result.ok) return then(false);
+      for (const item of result.value.items) readJob(found, item);
+      const last = result.value.items.at(-1);
+      if (result.value.more && last) page(last.key);
+      else then(true);
+    });
+  page(prefix);
+}
--- a/src/core/owner/team-usage.ts
+++ b/src/core/owner/team-usage.ts
@@ -16,13 +16,36 @@
   gpus: number;
 }
 
+/**
+ * Why the count of a team changes. `granted`: a place was taken, to be stored. `read`: found in the stored records. `ended`: its
+ * worker lists it as ended. `gone`: settled without that. `returned`: never sent to the state service. `let_go`: its job is read
+ * again, filed or no longer this owner's.
+ */
+export type UsageCause = 'granted' | 'read' | 'ended' | 'gone' | 'returned' | 'let_go';
+
+/** Tasks added and removed by cause. */
+export type UsageChanges = Partial<Record<UsageCause, number>>;
+
 /** What the unsettled placements of each team take of its limit. Only the owner of a team can store placements of it. */
 export class TeamUsage {
   private readonly used = new Map<string, Usage>();
+  private changes = new Map<string, UsageChanges>();
 
   constructor(private readonly teams: ReadonlyMap<string, Team>) {}
 
-  add(spec: JobSpec, tasks = 1): void {
+  add(spec: JobSpec, cause: UsageCause, tasks = 1): void {
+    if (tasks === 0) return;
+    this.change(spec, tasks);
+    const changes = this.changes.get(spec.team) ?? {};
+    changes[cause] = (changes[cause] ?? 0) + Math.abs(tasks);
+    this.changes.set(spec.team, changes);
+  }
+
+  remove(spec: JobSpec, cause: UsageCause, tasks = 1): void {
+    this.add(spec, cause, -tasks);
+  }
+
+  private change(spec: JobSpec, tasks: number): void {
     const usage = this.of(spec.team);
     usage.cpus += tasks * spec.cpus;
     usage.gpus += tasks * spec.gpus;
@@ -30,10 +53,6 @@
     this.used.set(spec.team, usage);
   }
 
-  remove(spec: JobSpec, tasks = 1): void {
-    this.add(spec, -tasks);
-  }
-
   /** What a team may use at a time: infinite without a limit. */
   limit(team: string): Amounts {
     const limit = this.teams.get(team);
@@ -57,6 +76,26 @@
     return left !== null && tasksWithin(left, spec) >= 1;
   }
 
+  exceeds(team: string): boolean {
+    const left = this.remaining(team);
+    return left !== null && (left.cpus < -EPSILON || left.gpus < -EPSILON);
+  }
+
+  /** What a team uses and may use, for logs; a limit of null: none. */
+  describe(team: string): { cpus: number; cpus_max: number | null; gpus: number; gpus_max: number | null } {
+    const { cpus, gpus } = this.of(team);
+    const limit = this.limit(team);
+    const finite = (amount: number) => (Number.isFinite(amount) ? amount : null);
+    return { cpus, cpus_max: finite(limit.cpus), gpus, gpus_max: finite(limit.gpus) };
+  }
+
+  /** The changes of each team since the last call. */
+  takeChanges(): Map<string, UsageChanges> {
+    const taken = this.changes;
+    this.changes = new Map();
+    return taken;
+  }
+
   load(team: string): TeamLoad {
     const whole = this.limit(team);
     return {
--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -164,7 +164,7 @@
   const small = queued({ shape: 'gang', tasks: 2, cpus: 4 });
   const low = queued({ rank: 3, tasks: 50, cpus: 1 });
   const running = queued({ rank: 2, tasks: 5, cpus: 4 }, 5);
-  usage.add(running.spec, 5);
+  usage.add(running.spec, 'granted', 5);
   const budget = (wallMs: number) => {
     const of = TeamBudget.of('red', usage, [gang, small, low, running])!;
     expect(of.fit(gang.spec)).toBe(5);
--- a/test/standin/owner.ts
+++ b/test/standin/owner.ts
@@ -1,6 +1,16 @@
 import { Owner, type OwnerOptions } from '../../src/core/owner/owner.js';
 import type { PlaceRecord } from '../../src/core/records.js';
-import type { Grant, JobSpec, OwnerMsg, Result, StatePort, Team, Txn } from '../../src/core/types.js';
+import type {
+  Fields,
+  Grant,
+  JobSpec,
+  Logger,
+  OwnerMsg,
+  Result,
+  StatePort,
+  Team,
+  Txn,
+} from '../../src/core/types.js';
 import { Sim } from './sim.js';
 import { StateStandin } from './state.js';
 
@@ -40,6 +50,7 @@
   readonly sim = new Sim(1);
   readonly state = new StateStandin(this.sim);
   readonly said: OwnerMsg[] = [];
+  readonly logged: { fields: Fields; message: string }[] = [];
   readonly owner: Owner;
   /** How the next transactions are lost, in order; null: answered. */
   readonly losses: (Loss | null)[] = [];
@@ -70,6 +81,7 @@
           soon: (run) => this.sim.after(0, run),
           random: () => 0.5,
         },
+        log: this.logger(),
         send: (message) => this.said.push(message),
         wake: () => this.sim.after(0, () => this.owner.flush()),
       }),
@@ -129,6 +141,11 @@
     this.state.txn(HOST, { when: [], then: [{ put: key, value }] }, LIMITS);
   }
 
+  private logger(): Logger {
+    const take = (fields: Fields, message: string) => this.logged.push({ fields, message });
+    return { debug: take, info: take, error: take };
+  }
+
   private statePort(): StatePort {
     const answer = <T>(serve: () => { status: number; value?: T; failed?: string[] }): Result<T> => {
       const { status, value, failed } = serve();
--- a/test/write-doubt.test.ts
+++ b/test/write-doubt.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest';
-import type { Team } from '../src/core/types.js';
+import { LimitedLog } from '../src/core/limited-log.js';
+import type { Clock, Fields, Team } from '../src/core/types.js';
 import { job, playDoubtfulDay } from './standin/day.js';
 import { OwnerStandin } from './standin/owner.js';
 import { World } from './standin/world.js';
@@ -58,3 +59,30 @@
   },
   120000,
 );
+
+test("what a write in doubt, its end and a team's use look like in the log", () => {
+  const standin = new OwnerStandin(TEAM, specs);
+  standin.losses.push('carried out at once');
+  standin.grant('wk-000001', 5);
+  standin.run(3000);
+  const fieldsOf = (message: string) => standin.logged.filter((line) => line.message === message);
+  expect(fieldsOf('write in doubt')[0]?.fields).toMatchObject({ jobs: ['wk-000001'], of: 1, placements: 5 });
+  expect(fieldsOf('write in doubt resolved')[0]?.fields).toMatchObject({ job: 'wk-000001', found: 5 });
+  expect(fieldsOf('team usage changed').map((line) => line.fields)).toContainEqual(
+    expect.objectContaining({ team: 'red', granted: 5, cpus: 5 * CPUS, cpus_max: TEAM.cpusMax }),
+  );
+  expect(fieldsOf('team counted over its limit')).toEqual([]);
+});
+
+test('a line that a trouble repeats is bounded, and says how many were left out', () => {
+  let now = 0;
+  const lines: Fields[] = [];
+  const take = (fields: Fields) => lines.push(fields);
+  const clock = { now: () => now } as Clock;
+  const limited = new LimitedLog({ debug: take, info: take, error: take }, clock);
+  for (let i = 0; i < 500; i++) limited.info({ i }, 'write in doubt');
+  expect(lines.length).toBe(20);
+  now = 10_000;
+  limited.info({ i: 500 }, 'write in doubt');
+  expect(lines.at(-1)).toEqual({ i: 500, suppressed: 480 });
+});
