--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -11,9 +11,7 @@
   type Seen,
   type StatePort,
   type Team,
-  type Txn,
   taskKey,
-  URGENCY,
   type Want,
 } from '../types.js';
 import {
@@ -27,16 +25,8 @@
   type SettledPlacement,
   zoneAllows,
 } from './job.js';
-import {
-  counterKey,
-  type JobWrite,
-  jobKey,
-  keyOf,
-  revisionOf,
-  type WriteEvents,
-  writeChanges,
-  writeFinal,
-} from './job-writes.js';
+import { JobTransactions } from './job-transactions.js';
+import type { WriteEvents } from './job-writes.js';
 import { ReleaseOrder } from './release-order.js';
 import { readStoredJobs } from './stored-jobs.js';
 import { TeamUsage, tasksWithin, type UsageCause } from './team-usage.js';
@@ -73,18 +63,11 @@
 /** Most placements told in one message. */
 const SYNC_PART = 400;
 
-/** The state service takes so many times as many conditions as changes in a transaction. */
-const CONDITIONS_PER_CHANGE = 4;
-/** Conditions that a job adds beside those on what it changes: its record, its counter and its team. */
-const CONDITIONS_PER_JOB = 3;
-
 /** Holds the teams assigned to this controller: release, queue, limits, one attempt per task, counters. */
 export class Owner implements WriteEvents {
   private readonly jobs = new Map<string, OwnedJob>();
   private readonly teams = new Map<string, { gen: number; loaded: boolean; loading: boolean }>();
   private readonly usage: TeamUsage;
-  /** Jobs with something to write, or over and not yet filed. */
-  private readonly dirty = new Set<OwnedJob>();
   private flushTimer = 0;
   private wantsAt = 0;
   /** The newest grant taken in from this scheduler. */
@@ -97,6 +80,7 @@
   private coveredTold = Number.NEGATIVE_INFINITY;
   private readonly order: ReleaseOrder;
   private readonly fence: WriteFence;
+  private readonly transactions: JobTransactions;
   private readonly usageLog: UsageLog;
   private readonly archived = new Set<string>();
   private readonly chunk: number;
@@ -106,8 +90,6 @@
   private needSync = false;
   private wantsDirty = false;
   private lastWants = '';
-  private readonly txnBusy = { work: false, tidy: false };
-  private retryFlushAt = 0;
   private outHeld: Held[] = [];
   private outDrop: { tasks: { machine: string; key: string }[]; grants: number[] } = {
     tasks: [],
@@ -128,6 +110,19 @@
       log: o.log,
       ready: () => o.wake(),
     });
+    this.transactions = new JobTransactions({
+      ...o,
+      fence: this.fence,
+      events: this,
+      chunk: this.chunk,
+      teamRevision: (team) => this.teams.get(team)?.gen,
+      holds: (job) => this.jobs.get(job.spec.id) === job,
+      unconfirmed: (jobs, inDoubt, fence) => {
+        if (inDoubt) this.usageLog.inDoubt(jobs, fence);
+        for (const job of jobs) this.reload(job, inDoubt);
+      },
+      wakeAt: (at) => this.wakeAt(at),
+    });
   }
 
   get ownedTeams(): string[] {
@@ -161,7 +156,7 @@
   private letGo(j: OwnedJob): void {
     this.usage.remove(j.spec, 'let_go', j.placed.size);
     this.jobs.delete(j.spec.id);
-    this.dirty.delete(j);
+    this.transactions.drop(j);
   }
 
   private putPlaced(j: OwnedJob, p: Placement, cause: UsageCause): void {
@@ -173,20 +168,6 @@
     if (j.placed.delete(p.idx)) this.usage.remove(j.spec, cause);
   }
 
-  /** Something of a job is to be written within `ms`. */
-  private mark(j: OwnedJob, ms: number): void {
-    this.dirty.add(j);
-    j.dueAt = Math.min(j.dueAt, this.o.clock.now() + ms);
-  }
-
-  /**
-   * How long a count that fills nothing may wait for others of its job: longer when many jobs have such, so that they
-   * take a part of the writes only.
-   */
-  private lazyMs(): number {
-    return Math.min(5000, Math.max(1000, (this.dirty.size / (this.o.writeRps * 0.2)) * 1000));
-  }
-
   /** A scheduler with a higher token is heeded from now on; one with a lower token never again. */
   setScheduler(token: number): void {
     if (token <= this.token) return;
@@ -274,7 +255,7 @@
     j.fan.skipTo((i) => j.count.has(i));
     this.jobs.set(spec.id, j);
     if (!old) this.order.learn(spec);
-    if (isOver(j)) this.mark(j, 0);
+    if (isOver(j)) this.transactions.mark(j, 0);
   }
 
   /**
@@ -360,7 +341,7 @@
         this.dropPlaced(j, p, 'returned');
       } else this.stop(j, p, 0);
     }
-    this.mark(j, 0);
+    this.transactions.mark(j, 0);
     this.wantsDirty = true;
     this.o.wake();
   }
@@ -454,7 +435,7 @@
       'granted',
     );
     j.dirtyChunks.add(Math.floor(idx / this.chunk));
-    this.mark(j, 0);
+    this.transactions.mark(j, 0);
     return true;
   }
 
@@ -479,7 +460,7 @@
         if (running && j.storedRunning === 0) {
           j.storedRunning = 1;
           j.dirtyCount = true;
-          this.mark(j, this.lazyMs());
+          this.transactions.mark(j, this.transactions.lazyMs());
         }
         if (running) this.o.log.debug({ job: s.job, idx: s.idx, machine: s.machine }, 'task runs');
       }
@@ -494,7 +475,7 @@
       if (j.count.add(p.idx)) j.dirtyCount = true;
       // "When one is done, all are": the rest of a gang is counted with it, and settled as it is reported.
       if (j.spec.shape === 'gang') for (let i = 0; i < j.spec.tasks; i++) j.count.add(i);
-      this.mark(j, j.count.full ? 0 : this.lazyMs());
+      this.transactions.mark(j, j.count.full ? 0 : this.transactions.lazyMs());
       j.failures = 0;
       j.near = p.machine;
     } else if (s.why === 'error' || s.why === 'unknown') {
@@ -531,11 +512,11 @@
     this.dropPlaced(j, p, why === 'gone' ? 'gone' : 'ended');
     j.attempts.set(p.idx, Math.max(p.attempt, j.attempts.get(p.idx) ?? 0));
     j.toReap.push({ placement: p, listed: why !== 'gone' });
-    if (isOver(j)) this.mark(j, 0);
+    if (isOver(j)) this.transactions.mark(j, 0);
     // What the counter holds is settled by it; its old placement needs no write of its own.
     if (!j.count.has(p.idx)) {
       j.dirtyChunks.add(Math.floor(p.idx / this.chunk));
-      this.mark(j, this.lazyMs());
+      this.transactions.mark(j, this.transactions.lazyMs());
       j.fan.giveBack(p.idx);
       if (j.spec.shape === 'gang')
         for (const q of j.placed.values()) if (q.want === 'run') this.stopGangMate(j, q);
@@ -568,8 +549,7 @@
 
   flush(): void {
     this.loadTeams();
-    this.write('work');
-    this.write('tidy');
+    this.transactions.write();
     this.tell();
     this.usageLog.look(this.teams.keys(), this.jobs.values());
   }
@@ -676,107 +656,12 @@
       for (const p of [...j.placed.values()]) {
         if (p.stored) continue;
         this.dropPlaced(j, p, 'returned');
-        this.mark(j, 0);
+        this.transactions.mark(j, 0);
         j.fan.giveBack(p.idx);
       }
     }
   }
 
-  // ---- writing ----------------------------------------------------------------------------------
-
-  /**
-   * One transaction of each kind at a time: placements and counters don't wait behind tidying up, and what comes
-   * meanwhile shares the next one.
-   */
-  private write(kind: 'work' | 'tidy'): void {
-    const now = this.o.clock.now();
-    if (this.txnBusy[kind] || this.dirty.size === 0) return;
-    if (now < this.retryFlushAt) return this.wakeAt(this.retryFlushAt);
-    const fence = this.fence.condition();
-    if (!fence) return;
-    const txn: Txn = { when: [fence], then: [] };
-    const writes: JobWrite[] = [];
-    const part: OwnedJob[] = [];
-    const teams = new Set<string>();
-    let bytes = 0;
-    const jobs: OwnedJob[] = [];
-    let next = Number.POSITIVE_INFINITY;
-    for (const j of this.dirty) {
-      if (j.reloading || j.busy) continue;
-      const over = isOver(j);
-      if (!over && !j.dirtyCount && j.dirtyChunks.size === 0) {
-        j.dueAt = Number.POSITIVE_INFINITY;
-        this.dirty.delete(j);
-      } else if (over === (kind === 'tidy')) {
-        if (j.dueAt <= now) jobs.push(j);
-        else next = Math.min(next, j.dueAt);
-      }
-    }
-    if (jobs.length === 0) return this.wakeAt(next);
-    jobs.sort((a, b) => a.spec.rank - b.spec.rank || a.dueAt - b.dueAt || a.order - b.order);
-    for (const j of jobs) {
-      if (txn.then.length >= this.o.txnOps || bytes > 40000) break;
-      const room = Math.min(this.o.txnOps - txn.then.length, this.conditionsLeft(txn, teams.size));
-      if (room < 1) break;
-      const write = kind === 'tidy' ? writeFinal(j, room, this) : writeChanges(j, room, this.chunk, this);
-      if (!write) continue;
-      const written = new Set(write.ops.map(keyOf));
-      for (const op of write.ops) {
-        bytes += JSON.stringify(op).length;
-        txn.when.push({ key: keyOf(op), version: revisionOf(j, keyOf(op)) });
-        txn.then.push(op);
-      }
-      for (const key of [jobKey(j.spec.id), counterKey(j.spec.id)])
-        if (!written.has(key)) txn.when.push({ key, version: revisionOf(j, key) });
-      teams.add(j.spec.team);
-      part.push(j);
-      writes.push(write);
-    }
-    if (part.length === 0) return;
-    for (const t of teams) txn.when.push({ key: `sys/team/${t}`, version: this.teams.get(t)?.gen ?? -1 });
-    for (const j of part) {
-      j.busy = true;
-      j.dueAt = Number.POSITIVE_INFINITY;
-    }
-    this.txnBusy[kind] = true;
-    this.o.state.txn(txn, kind === 'tidy' ? URGENCY.cleanup : URGENCY.placement, (r) => {
-      this.txnBusy[kind] = false;
-      for (const j of part) {
-        j.busy = false;
-        // Looked at again by the next write, and let go there if nothing is left to store.
-        if (this.jobs.get(j.spec.id) === j) this.mark(j, j.dirtyCount && !j.count.full ? this.lazyMs() : 0);
-      }
-      if (r.ok) {
-        for (const write of writes) write.stored(r.value);
-      } else if (r.kind === 'refused' || this.fence.isOnlyConflict(r)) {
-        // Surely not executed: what was to be stored still is.
-        for (const write of writes) write.undone();
-        this.retryFlushAt = this.o.clock.now() + 100;
-        this.o.clock.after(110, () => this.o.wake());
-      } else {
-        // Not applied, or nobody knows: the stored records decide.
-        this.o.log.debug(
-          { kind: r.kind, failed: r.failed ?? [], jobs: part.map((j) => j.spec.id) },
-          'write not confirmed',
-        );
-        if (r.kind === 'conflict' && r.failed?.every((k) => k.startsWith('sys/team/'))) {
-          // Ownership moved; the watch will tell. Nothing of ours was stored.
-          this.retryFlushAt = this.o.clock.now() + 200;
-          this.o.clock.after(210, () => this.o.wake());
-        }
-        const inDoubt = r.kind !== 'conflict' && r.kind !== 'bad';
-        if (inDoubt) this.usageLog.inDoubt(part, fence.version);
-        for (const j of part) if (this.jobs.get(j.spec.id) === j) this.reload(j, inDoubt);
-      }
-      this.o.wake();
-    });
-  }
-
-  /** Changes of one more job that a transaction has conditions left for: one a change, and those on its job and team. */
-  private conditionsLeft(txn: Txn, teams: number): number {
-    return this.o.txnOps * CONDITIONS_PER_CHANGE - txn.when.length - teams - CONDITIONS_PER_JOB;
-  }
-
   // ---- what follows from writes ------------------------------------------------------------------
 
   placementStored(j: OwnedJob, p: Placement): void {
