--- /dev/null
+++ b/test/standin/ports.ts
@@ -0,0 +1,103 @@
+import type {
+  Failure,
+  Result,
+  StatePort,
+  Then,
+  Txn,
+  WorkerPort,
+  WorkerReport,
+} from '../../src/core/types.js';
+import type { Answer } from './sim.js';
+import type { World } from './world.js';
+
+/** A call to the state service or to a worker waits so long for its answer. */
+const DEADLINE_MS = 1500;
+/** A watch may be answered so long after its own time. */
+const WATCH_GRACE_MS = 3000;
+const ITEMS_A_PAGE = 50;
+
+/** Hands what comes to a process over to it: at once, after its pause, or never. */
+export type Enter = (handle: () => void) => void;
+
+interface StateReply<T> {
+  status: number;
+  value?: T;
+  failed?: string[];
+}
+
+/** The state service as a controller of this world reaches it, with the troubles of the day. */
+export function statePort(world: World, host: string, enter: Enter): StatePort {
+  const { state, sim, net, shape } = world;
+  const ask = <T>(
+    serve: (reply: (r: StateReply<T>) => void) => void,
+    then: Then<T>,
+    deadlineMs = DEADLINE_MS,
+  ) =>
+    net.call<StateReply<T>>(host, 'state', deadlineMs, serve, (answer) => enter(() => then(result(answer))));
+  return {
+    get: (key, _urgency, then) => ask((reply) => reply(state.get(host, key)), then),
+    list: (prefix, since, _urgency, then) =>
+      ask((reply) => {
+        const serve = () => reply(state.list(host, prefix, since, ITEMS_A_PAGE));
+        if (world.slowReadsMs > 0) sim.after(sim.between(0, world.slowReadsMs), serve);
+        else serve();
+      }, then),
+    txn: (txn, _urgency, then) => {
+      const copy = JSON.parse(JSON.stringify(txn)) as Txn;
+      const carryOut = () => world.admission.watch(copy, () => state.txn(host, copy, shape));
+      const noAnswer = () => sim.after(DEADLINE_MS, () => enter(() => then({ ok: false, kind: 'unknown' })));
+      if (sim.chance(world.lateWrites)) {
+        // After newer ones.
+        sim.after(sim.between(2000, 12000), carryOut);
+        return noAnswer();
+      }
+      if (world.lostAnswers > 0 && sim.chance(world.lostAnswers)) {
+        net.send(host, 'state', carryOut);
+        return noAnswer();
+      }
+      ask((reply) => reply(carryOut()), then);
+    },
+    grant: (ttlMs, then) => ask((reply) => reply(state.grant(host, ttlMs)), then),
+    touch: (lease, then) => ask((reply) => reply(state.touch(host, lease)), then),
+    end: (lease, then) => ask((reply) => reply(state.end(host, lease)), then),
+    watch: (prefix, since, waitMs, then) =>
+      ask((reply) => state.watch(host, prefix, since, waitMs, reply), then, waitMs + WATCH_GRACE_MS),
+  };
+}
+
+/** The workers as a controller of this world reaches them directly. */
+export function workerPort(world: World, host: string, enter: Enter): WorkerPort {
+  const { sim, net, shape, workers } = world;
+  return {
+    commands: (addr, token, season, commands, then) => {
+      const copy = JSON.parse(JSON.stringify(commands)) as typeof commands;
+      // What was executed may be executed once more, long after.
+      if (world.copies && sim.chance(0.3))
+        sim.after(sim.between(500, shape.leaseS * 2500), () =>
+          workers.get(addr)?.direct(token, season, copy, () => {}),
+        );
+      net.call<{ ok: boolean; report: WorkerReport }>(
+        host,
+        addr,
+        DEADLINE_MS,
+        (reply) => workers.get(addr)?.direct(token, season, copy, reply),
+        (answer) =>
+          enter(() => {
+            if (!answer.got) return then({ ok: false, kind: answer.sent ? 'unknown' : 'refused' });
+            const { ok, report } = answer.value;
+            then(ok ? { ok: true, value: report } : { ok: false, kind: 'conflict', report });
+          }),
+      );
+    },
+  };
+}
+
+function result<T>(answer: Answer<StateReply<T>>): Result<T> {
+  if (!answer.got) return { ok: false, kind: answer.sent ? 'unknown' : 'refused' } satisfies Failure;
+  const { status, value, failed } = answer.value;
+  if (status === 200) return { ok: true, value: JSON.parse(JSON.stringify(value ?? null)) as T };
+  if (status === 409) return { ok: false, kind: 'conflict', failed: failed ?? [] };
+  if (status === 404 || status === 410) return { ok: false, kind: 'gone' };
+  if (status === 503) return { ok: false, kind: 'refused' };
+  return { ok: false, kind: 'bad' };
+}
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -4,22 +4,21 @@
 import type {
   Clock,
   CloudPort,
-  Failure,
   Fields,
   JobSpec,
   ListedMachine,
   Logger,
   Result,
-  StatePort,
   Then,
-  WorkerPort,
   WorkerReport,
 } from '../../src/core/types.js';
 import { checkPolicy } from '../../src/settings/policy.js';
 import { Admission } from './admission.js';
+import { statePort, workerPort } from './ports.js';
+import { Rules } from './rules.js';
 import { ServiceLevel } from './service-level.js';
 import { SHAPE, type Shape } from './shape.js';
-import { type Answer, Net, Sim } from './sim.js';
+import { Net, Sim } from './sim.js';
 import { StateStandin } from './state.js';
 import { Waiting } from './waiting.js';
 import { type Task, WorkerStandin } from './worker.js';
@@ -28,7 +27,7 @@
 /** `gang_peer_s` of the protocol: all tasks of a gang are told within this time of the first. */
 const GANG_PEER_MS = 6000;
 
-interface UserJob {
+export interface UserJob {
   spec: JobSpec;
   accepted: boolean;
   askedCancel: boolean;
@@ -101,13 +100,12 @@
   capacity: number;
   starts = 0;
   readonly service: ServiceLevel;
-  private readonly admission: Admission;
+  readonly admission: Admission;
   private machines = 0;
   private instances = 0;
   private readonly claims = new Map<string, string[]>();
   private listed: { at: number; list: ListedMachine[] }[] = [];
   private readonly booted = new Map<string, { l: ListedMachine; at: number }>();
-  private readonly on = new Map<string, string>();
 
   constructor(
     seed: number,
@@ -120,7 +118,8 @@
     this.net = new Net(this.sim);
     this.state = new StateStandin(this.sim);
     this.admission = new Admission(this, (text) => this.fault(text));
-    this.sim.afterStep = () => this.check();
+    const rules = new Rules(this, (text) => this.fault(text));
+    this.sim.afterStep = () => rules.check();
     for (const h of this.hosts) this.boot(h);
     const snap = () => {
       this.listed.push({
@@ -163,9 +162,9 @@
       policy: POLICY,
       clock,
       log: this.logger(host),
-      statePort: this.statePort(host, p),
+      statePort: statePort(this, host, (handle) => this.enter(p, handle)),
       cloud: this.cloudPort(host, p),
-      worker: this.workerPort(host, p),
+      worker: workerPort(this, host, (handle) => this.enter(p, handle)),
       mesh: {
         send: (to, m: MeshMsg) => {
           const text = JSON.stringify(m);
@@ -219,72 +218,6 @@
     this.sim.after(backMs, () => this.boot(host));
   }
 
-  private statePort(host: string, p: Proc): StatePort {
-    const s = this.state;
-    type R<T> = { status: number; value?: T; failed?: string[] };
-    const ask = <T>(serve: (reply: (r: R<T>) => void) => void, cb: Then<T>, deadline = 1500) =>
-      this.net.call<R<T>>(host, 'state', deadline, serve, (a) => this.enter(p, () => cb(result(a))));
-    return {
-      get: (k, _u, cb) => ask((r) => r(s.get(host, k)), cb),
-      list: (pre, since, _u, cb) =>
-        ask((r) => {
-          const serve = () => r(s.list(host, pre, since, 50));
-          if (this.slowReadsMs > 0) this.sim.after(this.sim.between(0, this.slowReadsMs), serve);
-          else serve();
-        }, cb),
-      txn: (t, _u, cb) => {
-        const copy = JSON.parse(JSON.stringify(t));
-        const carryOut = () => this.admission.watch(copy, () => s.txn(host, copy, this.shape));
-        const noAnswer = () =>
-          this.sim.after(1500, () => this.enter(p, () => cb({ ok: false, kind: 'unknown' })));
-        if (this.sim.chance(this.lateWrites)) {
-          // After newer ones.
-          this.sim.after(this.sim.between(2000, 12000), carryOut);
-          return noAnswer();
-        }
-        if (this.lostAnswers > 0 && this.sim.chance(this.lostAnswers)) {
-          this.net.send(host, 'state', carryOut);
-          return noAnswer();
-        }
-        ask((r) => r(carryOut()), cb);
-      },
-      grant: (ttl, cb) => ask((r) => r(s.grant(host, ttl)), cb),
-      touch: (l, cb) => ask((r) => r(s.touch(host, l)), cb),
-      end: (l, cb) => ask((r) => r(s.end(host, l)), cb),
-      watch: (pre, since, wait, cb) => ask((r) => s.watch(host, pre, since, wait, r), cb, wait + 3000),
-    };
-  }
-
-  private workerPort(host: string, p: Proc): WorkerPort {
-    return {
-      commands: (addr, token, season, cmds, cb) => {
-        const copy = JSON.parse(JSON.stringify(cmds));
-        // What was executed may be executed once more, long after.
-        if (this.copies && this.sim.chance(0.3))
-          this.sim.after(this.sim.between(500, this.shape.leaseS * 2500), () =>
-            this.workers.get(addr)?.direct(token, season, copy, noop),
-          );
-        this.net.call<{ ok: boolean; report: WorkerReport }>(
-          host,
-          addr,
-          1500,
-          (reply) => this.workers.get(addr)?.direct(token, season, copy, reply),
-          (a) => {
-            this.enter(p, () => {
-              if (!a.got) cb({ ok: false, kind: a.sent ? 'unknown' : 'refused' });
-              else
-                cb(
-                  a.value.ok
-                    ? { ok: true, value: a.value.report }
-                    : { ok: false, kind: 'conflict', report: a.value.report },
-                );
-            });
-          },
-        );
-      },
-    };
-  }
-
   // ---- cloud ------------------------------------------------------------------------------------------
 
   private cloudPort(host: string, p: Proc): CloudPort {
@@ -607,54 +540,6 @@
     this.broken.push(`${(this.sim.now / 1000).toFixed(3)} ${text}`);
   }
 
-  /** After each step, on what is on the machines: every rule of the protocol about tasks. */
-  private check(): void {
-    const at = new Map<string, string>();
-    const use = new Map<string, number>();
-    for (const w of this.workers.values()) {
-      if (!w.alive) continue;
-      for (const t of w.tasks) {
-        if (!w.onMachine(t)) continue;
-        const key = `${t.job}/${t.idx}`;
-        const j = this.jobs.get(t.job);
-        if (!j) continue;
-        const s = j.spec;
-        const place = `${w.name}#${t.attempt}#${t.gen}`;
-        if (at.has(key)) this.fault(`ran_twice: ${key} on ${at.get(key)} and ${place}`);
-        at.set(key, place);
-        use.set(s.team, (use.get(s.team) ?? 0) + s.cpus);
-        if (j.cancelledAt !== null && this.sim.now - j.cancelledAt > this.shape.cancelS * 1000)
-          this.fault(`ran_cancelled: ${key} on ${place}`);
-        if (this.on.get(key) === place) continue;
-        this.starts++;
-        this.service.started(t.job, t.idx, this.sim.now);
-        if (j.cancelledAt !== null) this.service.startsAfterCancellation++;
-        if (w.spot && !s.spot) this.fault(`wrong_place: ${key} on a spot machine`);
-        if (s.types && !s.types.includes(w.type)) this.fault(`wrong_place: ${key} on ${w.type}`);
-        if (s.zone !== null && s.zone !== w.zone) this.fault(`wrong_place: ${key} in ${w.zone}`);
-        if (s.together || s.apart) {
-          let here = 0;
-          let other = 0;
-          for (const x of this.workers.values())
-            for (const y of x.tasks)
-              if (y.job === t.job && x.onMachine(y)) x.zone === w.zone ? here++ : other++;
-          if (s.together && other > 0) this.fault(`wrong_place: ${t.job} in two zones`);
-          if (s.apart && here > Math.ceil(s.tasks / 2)) this.fault(`wrong_place: ${t.job} not spread`);
-        }
-      }
-    }
-    for (const j of this.jobs.values())
-      if (j.accepted && this.sim.now - Math.max(j.answeredAt, this.quietFrom) > 75000) {
-        this.fault(`forgotten: no question about ${j.spec.id} is answered`);
-        j.answeredAt = this.sim.now;
-      }
-    for (const t of this.shape.teams)
-      if (t.cpusMax > 0 && (use.get(t.name) ?? 0) > t.cpusMax + 1e-9)
-        this.fault(`quota: ${t.name} uses ${use.get(t.name)}`);
-    this.on.clear();
-    for (const [k, v] of at) this.on.set(k, v);
-  }
-
   /** Groups of jobs too few of which were served; jobs that fail everywhere or were called off don't count. */
   underServed(): string[] {
     return this.service.underServed((id) => this.doomed.has(id) || this.jobs.get(id)?.askedCancel === true);
@@ -673,13 +558,3 @@
       .map((j) => j.spec.id);
   }
 }
-
-function result<T>(a: Answer<{ status: number; value?: T; failed?: string[] }>): Result<T> {
-  if (!a.got) return { ok: false, kind: a.sent ? 'unknown' : 'refused' } satisfies Failure;
-  const r = a.value;
-  if (r.status === 200) return { ok: true, value: JSON.parse(JSON.stringify(r.value ?? null)) as T };
-  if (r.status === 409) return { ok: false, kind: 'conflict', failed: r.failed ?? [] };
-  if (r.status === 404 || r.status === 410) return { ok: false, kind: 'gone' };
-  if (r.status === 503) return { ok: false, kind: 'refused' };
-  return { ok: false, kind: 'bad' };
-}
