Tests of the fence: its own write unanswered, late, and moved by an earlier process

Each fails without the fence, but the last, which shows that a transaction refused for its fence alone is sent again without reading its jobs.

--- a/test/standin/owner.ts
+++ b/test/standin/owner.ts
@@ -137,7 +137,13 @@
     return Object.entries(this.storedPlacements()).reduce((sum, [job, n]) => sum + n * cpusOf(job), 0);
   }
 
-  private put(key: string, value: unknown): void {
+  /** What was logged with this message. */
+  linesOf(message: string): { fields: Fields; message: string }[] {
+    return this.logged.filter((line) => line.message === message);
+  }
+
+  /** Another's write, carried out at once. */
+  put(key: string, value: unknown): void {
     this.state.txn(HOST, { when: [], then: [{ put: key, value }] }, LIMITS);
   }
 
--- a/test/write-doubt.test.ts
+++ b/test/write-doubt.test.ts
@@ -60,18 +60,59 @@
   120000,
 );
 
+test('the fence is seen to have moved although the answer to its own write is lost', () => {
+  const standin = new OwnerStandin(TEAM, specs);
+  standin.losses.push('carried out late', 'carried out at once');
+  standin.grant('wk-000001', 5);
+  standin.run(4000);
+  expect(standin.linesOf('write in doubt resolved').length).toBe(1);
+  expect(standin.carryOutLate()).toBe(0);
+  standin.grant('wk-000001', LIMIT_TASKS);
+  standin.run(1000);
+  expect(standin.storedPlacements()).toEqual({ 'wk-000001': LIMIT_TASKS });
+});
+
+test('a write and its fence that are both late: carried out before the fence has moved it is found, after it never', () => {
+  for (const early of [true, false]) {
+    const standin = new OwnerStandin(TEAM, specs);
+    standin.losses.push('carried out late', 'carried out late');
+    standin.grant('wk-000001', 5);
+    standin.run(2000);
+    if (early) expect(standin.carryOutLate()).toBe(2);
+    standin.run(3000);
+    expect(standin.carryOutLate()).toBe(0);
+    expect(standin.storedPlacements()).toEqual(early ? { 'wk-000001': 5 } : {});
+    expect(standin.owner.stats().placed).toBe(early ? 5 : 0);
+  }
+});
+
+test('a write that fails by its fence alone is sent again, and its jobs are not read for it', () => {
+  const standin = new OwnerStandin(TEAM, specs);
+  standin.grant('wk-000001', 1);
+  standin.run(100);
+  // A write of the process before this one on the same host, carried out late.
+  standin.put('fence/o', { inst: 'earlier' });
+  standin.grant('wk-000002', 5);
+  standin.run(1000);
+  expect(standin.storedPlacements()).toEqual({ 'wk-000001': 1, 'wk-000002': 5 });
+  expect(standin.linesOf('job read again')).toEqual([]);
+});
+
 test("what a write in doubt, its end and a team's use look like in the log", () => {
   const standin = new OwnerStandin(TEAM, specs);
   standin.losses.push('carried out at once');
   standin.grant('wk-000001', 5);
   standin.run(3000);
-  const fieldsOf = (message: string) => standin.logged.filter((line) => line.message === message);
-  expect(fieldsOf('write in doubt')[0]?.fields).toMatchObject({ jobs: ['wk-000001'], of: 1, placements: 5 });
-  expect(fieldsOf('write in doubt resolved')[0]?.fields).toMatchObject({ job: 'wk-000001', found: 5 });
-  expect(fieldsOf('team usage changed').map((line) => line.fields)).toContainEqual(
+  expect(standin.linesOf('write in doubt')[0]?.fields).toMatchObject({
+    jobs: ['wk-000001'],
+    of: 1,
+    placements: 5,
+  });
+  expect(standin.linesOf('write in doubt resolved')[0]?.fields).toMatchObject({ job: 'wk-000001', found: 5 });
+  expect(standin.linesOf('team usage changed').map((line) => line.fields)).toContainEqual(
     expect.objectContaining({ team: 'red', granted: 5, cpus: 5 * CPUS, cpus_max: TEAM.cpusMax }),
   );
-  expect(fieldsOf('team counted over its limit')).toEqual([]);
+  expect(standin.linesOf('team counted over its limit')).toEqual([]);
 });
 
 test('a line that a trouble repeats is bounded, and says how many were left out', () => {
