--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -96,22 +96,22 @@
     grants: [],
   };
 
-  constructor(private readonly o: OwnerOptions) {
-    this.chunk = chunkSize(o.valueKb);
-    this.order = new ReleaseOrder(o.objectives);
-    this.usage = new TeamUsage(o.teams);
-    this.usageLog = new UsageLog(this.usage, o.clock, o.log);
-    this.window = releaseWindow(o.valueKb);
+  constructor(private readonly options: OwnerOptions) {
+    this.chunk = chunkSize(options.valueKb);
+    this.order = new ReleaseOrder(options.objectives);
+    this.usage = new TeamUsage(options.teams);
+    this.usageLog = new UsageLog(this.usage, options.clock, options.log);
+    this.window = releaseWindow(options.valueKb);
     this.fence = new WriteFence({
-      key: `fence/${o.host}`,
-      inst: o.inst,
-      state: o.state,
-      clock: o.clock,
-      log: o.log,
-      ready: () => o.wake(),
+      key: `fence/${options.host}`,
+      inst: options.inst,
+      state: options.state,
+      clock: options.clock,
+      log: options.log,
+      ready: () => options.wake(),
     });
     this.transactions = new JobTransactions({
-      ...o,
+      ...options,
       fence: this.fence,
       events: this,
       chunk: this.chunk,
@@ -132,79 +132,79 @@
   /** For logs and tests. */
   stats(): { jobs: number; placed: number } {
     let placed = 0;
-    for (const j of this.jobs.values()) placed += j.placed.size;
+    for (const job of this.jobs.values()) placed += job.placed.size;
     return { jobs: this.jobs.size, placed };
   }
 
   /** The teams whose records name this instance, by record version. */
   setTeams(now: Map<string, number>): void {
-    for (const [name, t] of this.teams) {
-      if (now.get(name) === t.gen) continue;
+    for (const [name, team] of this.teams) {
+      if (now.get(name) === team.gen) continue;
       this.teams.delete(name);
-      for (const j of [...this.jobs.values()]) if (j.spec.team === name) this.letGo(j);
-      this.o.log.debug({ team: name }, 'team let go');
+      for (const job of [...this.jobs.values()]) if (job.spec.team === name) this.letGo(job);
+      this.options.log.debug({ team: name }, 'team let go');
       this.needSync = true;
     }
     for (const [name, gen] of now) {
       if (this.teams.has(name)) continue;
       this.teams.set(name, { gen, loaded: false, loading: false });
-      this.o.log.debug({ team: name, gen }, 'team taken on');
+      this.options.log.debug({ team: name, gen }, 'team taken on');
     }
-    this.o.wake();
+    this.options.wake();
   }
 
-  private letGo(j: OwnedJob): void {
-    this.usage.remove(j.spec, 'let_go', j.placed.size);
-    this.jobs.delete(j.spec.id);
-    this.transactions.drop(j);
+  private letGo(job: OwnedJob): void {
+    this.usage.remove(job.spec, 'let_go', job.placed.size);
+    this.jobs.delete(job.spec.id);
+    this.transactions.drop(job);
   }
 
-  private putPlaced(j: OwnedJob, p: Placement, cause: UsageCause): void {
-    j.placed.set(p.idx, p);
-    this.usage.add(j.spec, cause);
+  private putPlaced(job: OwnedJob, placement: Placement, cause: UsageCause): void {
+    job.placed.set(placement.idx, placement);
+    this.usage.add(job.spec, cause);
   }
 
-  private dropPlaced(j: OwnedJob, p: Placement, cause: UsageCause): void {
-    if (j.placed.delete(p.idx)) this.usage.remove(j.spec, cause);
+  private dropPlaced(job: OwnedJob, placement: Placement, cause: UsageCause): void {
+    if (job.placed.delete(placement.idx)) this.usage.remove(job.spec, cause);
   }
 
   /** A scheduler with a higher token is heeded from now on; one with a lower token never again. */
   setScheduler(token: number): void {
     if (token <= this.token) return;
     this.token = token;
-    this.o.log.info({ token }, 'owner heeds leader');
+    this.options.log.info({ token }, 'owner heeds leader');
     this.marks.clear();
     this.coveredTold = Number.NEGATIVE_INFINITY;
     this.lastGrant = 0;
     this.synced = false;
     this.needSync = true;
-    this.o.wake();
+    this.options.wake();
   }
 
   resync(): void {
     this.synced = false;
     this.needSync = true;
-    this.o.wake();
+    this.options.wake();
   }
 
   // ---- stored state -------------------------------------------------------------------------
 
   private loadTeams(): void {
-    const wanted = [...this.teams].filter(([, t]) => !t.loaded && !t.loading);
+    const wanted = [...this.teams].filter(([, team]) => !team.loaded && !team.loading);
     if (wanted.length === 0) return;
-    for (const [, t] of wanted) t.loading = true;
+    for (const [, team] of wanted) team.loading = true;
     this.fence.learn();
-    readStoredJobs(this.o.state, null, (found) => {
-      for (const [, t] of wanted) t.loading = false;
-      if (!found) return void this.o.clock.after(RETRY_MS, () => this.o.wake());
-      for (const [name, t] of wanted) if (this.teams.get(name) === t) this.loadTeam(name, t, found);
+    readStoredJobs(this.options.state, null, (found) => {
+      for (const [, team] of wanted) team.loading = false;
+      if (!found) return void this.options.clock.after(RETRY_MS, () => this.options.wake());
+      for (const [name, team] of wanted) if (this.teams.get(name) === team) this.loadTeam(name, team, found);
       // Jobs accepted between the listing and now were shown by the watch before the team was loaded.
-      for (const [key, it] of this.o.openItems()) {
+      for (const [key, item] of this.options.openItems()) {
         const [, id, part] = key.split('/');
-        if (id && part === 'a') this.openChanged(id, part, it.value, it.version);
+        if (id && part === 'a') this.openChanged(id, part, item.value, item.version);
       }
       this.needSync = true;
-      this.o.wake();
+      this.options.wake();
     });
   }
 
@@ -217,83 +217,84 @@
     const jobs = [...found.values()].filter(({ spec }) => spec?.team === name);
     for (const job of jobs) this.adopt(job);
     const fields = { team: name, jobs: jobs.length, gen: team.gen, ...this.usage.describe(name) };
-    this.o.log.info(fields, 'team loaded');
+    this.options.log.info(fields, 'team loaded');
     this.usageLog.checkLimit(name);
   }
 
-  private adopt(s: StoredJob): void {
-    const spec = s.spec;
-    if (!spec || s.order === 0) return;
+  private adopt(stored: StoredJob): void {
+    const spec = stored.spec;
+    if (!spec || stored.order === 0) return;
     const old = this.jobs.get(spec.id);
     if (old) this.letGo(old);
-    const j = newJob(spec, s, old, this.window);
-    for (const [chunk, rec] of s.places) {
-      j.chunkRevisions.set(chunk, rec.mark);
-      for (const [k, p] of Object.entries(rec.tasks)) {
+    const job = newJob(spec, stored, old, this.window);
+    for (const [chunk, record] of stored.places) {
+      job.chunkRevisions.set(chunk, record.mark);
+      for (const [k, placement] of Object.entries(record.tasks)) {
         const idx = Number(k);
-        j.attempts.set(idx, p[0]);
-        if (p.length < 4 || j.count.has(idx)) continue;
+        job.attempts.set(idx, placement[0]);
+        if (placement.length < 4 || job.count.has(idx)) continue;
         this.putPlaced(
-          j,
+          job,
           {
             idx,
-            attempt: p[0],
-            machine: p[1] as string,
-            season: p[2] as number,
-            zone: p[3] as string,
+            attempt: placement[0],
+            machine: placement[1] as string,
+            season: placement[2] as number,
+            zone: placement[3] as string,
             grant: 0,
             stored: true,
-            want: j.cancelled ? 'stop' : 'run',
+            want: job.cancelled ? 'stop' : 'run',
             running: old?.placed.get(idx)?.running ?? false,
           },
           'read',
         );
       }
     }
-    if (spec.shape === 'gang' && j.count.full) for (const p of j.placed.values()) p.want = 'stop';
-    for (const p of j.placed.values()) if (p.running) j.shownRunning++;
-    j.fan.skipTo((i) => j.count.has(i));
-    this.jobs.set(spec.id, j);
+    if (spec.shape === 'gang' && job.count.full)
+      for (const placement of job.placed.values()) placement.want = 'stop';
+    for (const placement of job.placed.values()) if (placement.running) job.shownRunning++;
+    job.fan.skipTo((i) => job.count.has(i));
+    this.jobs.set(spec.id, job);
     if (!old) this.order.learn(spec);
-    if (isOver(j)) this.transactions.mark(j, 0);
+    if (isOver(job)) this.transactions.mark(job, 0);
   }
 
   /**
    * Reads the stored records of a job again. With a write of it in doubt, only once that write can no longer be carried
    * out: else what the read does not show may still be stored after it, beyond the team's limit or in another zone.
    */
-  private reload(j: OwnedJob, inDoubt = false): void {
-    if (j.reloading) return;
-    j.reloading = true;
-    const { id } = j.spec;
-    const since = this.o.clock.now();
+  private reload(job: OwnedJob, inDoubt = false): void {
+    if (job.reloading) return;
+    job.reloading = true;
+    const { id } = job.spec;
+    const since = this.options.clock.now();
     const read = () =>
-      readStoredJobs(this.o.state, id, (found) => {
-        if (this.jobs.get(id) !== j) return;
-        if (!found) return void this.o.clock.after(RETRY_MS, () => this.jobs.get(id) === j && read());
-        this.reloaded(j, found.get(id));
+      readStoredJobs(this.options.state, id, (found) => {
+        if (this.jobs.get(id) !== job) return;
+        if (!found) return void this.options.clock.after(RETRY_MS, () => this.jobs.get(id) === job && read());
+        this.reloaded(job, found.get(id));
         const now = this.jobs.get(id);
-        if (inDoubt && now) this.usageLog.resolved(now, j, since);
+        if (inDoubt && now) this.usageLog.resolved(now, job, since);
       });
     if (inDoubt) this.fence.move(read);
     else read();
   }
 
-  private reloaded(j: OwnedJob, stored: StoredJob | undefined): void {
-    const { id, team } = j.spec;
+  private reloaded(job: OwnedJob, stored: StoredJob | undefined): void {
+    const { id, team } = job.spec;
     if (stored?.spec) this.adopt(stored);
     else this.forget(id);
     const { jobRevision, counterRevision, places } = stored ?? {};
     const revisions = { job: jobRevision, counter: counterRevision, places: places?.size };
-    this.o.log.debug({ job: id, found: !!stored?.spec, revisions }, 'job read again');
+    this.options.log.debug({ job: id, found: !!stored?.spec, revisions }, 'job read again');
     this.usageLog.checkLimit(team);
     this.needSync = true;
-    this.o.wake();
+    this.options.wake();
   }
 
   private forget(id: string): void {
-    const j = this.jobs.get(id);
-    if (j) this.letGo(j);
+    const job = this.jobs.get(id);
+    if (job) this.letGo(job);
     this.archived.add(id);
     if (this.archived.size > 5000) for (const x of [...this.archived].slice(0, 1000)) this.archived.delete(x);
     this.wantsDirty = true;
@@ -301,21 +302,21 @@
 
   /** A change under `open/`, from the watch. */
   openChanged(id: string, part: string, value: unknown, mark: number): void {
-    const j = this.jobs.get(id);
+    const job = this.jobs.get(id);
     if (part === 'n') {
-      if (j && mark > j.counterRevision && !j.busy && !j.reloading) this.reload(j);
+      if (job && mark > job.counterRevision && !job.busy && !job.reloading) this.reload(job);
       return;
     }
     if (part !== 'a') return;
-    if (j) {
+    if (job) {
       // Also of a job that is being read again: that read may wait out an outage, while what runs must be stopped.
-      if (mark > j.jobRevision) {
+      if (mark > job.jobRevision) {
         const found = new Map<string, StoredJob>();
         readJob(found, { key: `open/${id}/a`, value, version: mark });
         const s = found.get(id);
         if (s?.cancelled) {
-          j.jobRevision = mark;
-          this.cancel(j);
+          job.jobRevision = mark;
+          this.cancel(job);
         }
       }
       return;
@@ -326,31 +327,31 @@
     const s = found.get(id);
     if (!s?.spec || !this.teams.get(s.spec.team)?.loaded) return;
     this.adopt(s);
-    this.o.log.debug({ job: id, tasks: s.spec.tasks, team: s.spec.team }, 'released');
+    this.options.log.debug({ job: id, tasks: s.spec.tasks, team: s.spec.team }, 'released');
     this.wantsDirty = true;
-    this.o.wake();
-  }
-
-  private cancel(j: OwnedJob): void {
-    if (j.cancelled) return;
-    j.cancelled = true;
-    this.o.log.debug({ job: j.spec.id, placed: j.placed.size }, 'cancelled');
-    for (const p of [...j.placed.values()]) {
-      if (!p.stored && !isInDoubt(j)) {
-        this.outDrop.grants.push(p.grant);
-        this.dropPlaced(j, p, 'returned');
-      } else this.stop(j, p, 0);
+    this.options.wake();
+  }
+
+  private cancel(job: OwnedJob): void {
+    if (job.cancelled) return;
+    job.cancelled = true;
+    this.options.log.debug({ job: job.spec.id, placed: job.placed.size }, 'cancelled');
+    for (const placement of [...job.placed.values()]) {
+      if (!placement.stored && !isInDoubt(job)) {
+        this.outDrop.grants.push(placement.grant);
+        this.dropPlaced(job, placement, 'returned');
+      } else this.stop(job, placement, 0);
     }
-    this.transactions.mark(j, 0);
+    this.transactions.mark(job, 0);
     this.wantsDirty = true;
-    this.o.wake();
+    this.options.wake();
   }
 
   // ---- scheduler ---------------------------------------------------------------------------------
 
-  fromScheduler(m: SchedulerMsg): void {
-    if (m.token !== this.token) return;
-    switch (m.k) {
+  fromScheduler(message: SchedulerMsg): void {
+    if (message.token !== this.token) return;
+    switch (message.k) {
       case 'synced':
         this.synced = true;
         this.wantsDirty = true;
@@ -360,39 +361,39 @@
         this.resync();
         break;
       case 'grants':
-        this.granted(m.grants);
+        this.granted(message.grants);
         break;
       case 'seen':
-        for (const s of m.seen) this.saw(s);
+        for (const seen of message.seen) this.saw(seen);
         break;
       case 'mark':
-        this.marks.add(m.at, this.o.clock.now());
-        this.o.readOpen();
+        this.marks.add(message.at, this.options.clock.now());
+        this.options.readOpen();
         break;
       case 'evict':
-        for (const t of m.tasks) this.evict(t.job, t.idx, t.attempt, m.why);
+        for (const task of message.tasks) this.evict(task.job, task.idx, task.attempt, message.why);
         break;
     }
-    this.o.wake();
+    this.options.wake();
   }
 
   private granted(grants: Grant[]): void {
     const byJob = new Map<string, Grant[]>();
-    for (const g of grants) {
-      this.lastGrant = Math.max(this.lastGrant, g.id);
-      const l = byJob.get(g.job);
-      if (l) l.push(g);
-      else byJob.set(g.job, [g]);
+    for (const grant of grants) {
+      this.lastGrant = Math.max(this.lastGrant, grant.id);
+      const offered = byJob.get(grant.job);
+      if (offered) offered.push(grant);
+      else byJob.set(grant.job, [grant]);
     }
-    for (const [id, l] of byJob) {
-      const j = this.jobs.get(id);
-      const gang = j?.spec.shape === 'gang';
-      const ok = j && !j.cancelled && !j.reloading && !j.count.full && this.synced;
-      if (!ok || (gang && !this.admitsGang(j, l))) {
-        this.outDrop.grants.push(...l.map((g) => g.id));
+    for (const [id, offered] of byJob) {
+      const job = this.jobs.get(id);
+      const gang = job?.spec.shape === 'gang';
+      const ok = job && !job.cancelled && !job.reloading && !job.count.full && this.synced;
+      if (!ok || (gang && !this.admitsGang(job, offered))) {
+        this.outDrop.grants.push(...offered.map((grant) => grant.id));
         continue;
       }
-      for (const g of l) if (!this.place(j, g)) this.outDrop.grants.push(g.id);
+      for (const grant of offered) if (!this.place(job, grant)) this.outDrop.grants.push(grant.id);
     }
     this.wantsDirty = true;
   }
@@ -401,148 +402,160 @@
    * Places for a gang are taken all or none: one with a part of its tasks placed would hold them until it gives up
    * waiting for the others (seen on bhuj-relief-works: 1 of 12 placed at a team's limit, ended after `gang_wait_s`).
    */
-  private admitsGang(j: OwnedJob, grants: Grant[]): boolean {
-    const { spec } = j;
-    if (grants.length !== spec.tasks || j.placed.size > 0) return false;
+  private admitsGang(job: OwnedJob, grants: Grant[]): boolean {
+    const { spec } = job;
+    if (grants.length !== spec.tasks || job.placed.size > 0) return false;
     const left = this.usage.remaining(spec.team);
     if (left === null || tasksWithin(left, spec) < spec.tasks) return false;
     const zones = new Set(grants.map((grant) => grant.zone));
     return !spec.together || zones.size === 1;
   }
 
-  private place(j: OwnedJob, g: Grant): boolean {
-    if (!this.usage.admits(j.spec)) return false;
-    if (!zoneAllows(j, g.zone)) return false;
-    const idx = j.fan.take(
-      (i) => j.count.has(i) || j.placed.has(i),
-      (i) => j.count.has(i),
+  private place(job: OwnedJob, grant: Grant): boolean {
+    if (!this.usage.admits(job.spec)) return false;
+    if (!zoneAllows(job, grant.zone)) return false;
+    const idx = job.fan.take(
+      (i) => job.count.has(i) || job.placed.has(i),
+      (i) => job.count.has(i),
     );
     if (idx < 0) return false;
-    const attempt = j.spec.shape === 'gang' ? gangAttempt(j) : (j.attempts.get(idx) ?? 0) + 1;
+    const attempt = job.spec.shape === 'gang' ? gangAttempt(job) : (job.attempts.get(idx) ?? 0) + 1;
     this.putPlaced(
-      j,
+      job,
       {
         idx,
         attempt,
-        machine: g.machine,
-        season: g.season,
-        zone: g.zone,
-        grant: g.id,
+        machine: grant.machine,
+        season: grant.season,
+        zone: grant.zone,
+        grant: grant.id,
         stored: false,
         want: 'run',
         running: false,
       },
       'granted',
     );
-    j.dirtyChunks.add(Math.floor(idx / this.chunk));
-    this.transactions.mark(j, 0);
+    job.dirtyChunks.add(Math.floor(idx / this.chunk));
+    this.transactions.mark(job, 0);
     return true;
   }
 
-  private saw(s: Seen): void {
-    const j = this.jobs.get(s.job);
-    const p = j?.placed.get(s.idx);
-    if (!j || !p || p.attempt !== s.attempt || p.machine !== s.machine || !p.stored) {
+  private saw(seen: Seen): void {
+    const job = this.jobs.get(seen.job);
+    const placement = job?.placed.get(seen.idx);
+    if (
+      !job ||
+      !placement ||
+      placement.attempt !== seen.attempt ||
+      placement.machine !== seen.machine ||
+      !placement.stored
+    ) {
       // Told again after its outcome was stored: the reap was lost with an earlier scheduler.
-      if (s.s === 'phase' && s.phase === 'exited' && !j?.reloading) this.reapStored(j, s);
+      if (seen.s === 'phase' && seen.phase === 'exited' && !job?.reloading) this.reapStored(job, seen);
       return;
     }
-    if (s.s === 'settled') {
-      this.settle(j, p, 'gone');
+    if (seen.s === 'settled') {
+      this.settle(job, placement, 'gone');
       return;
     }
-    if (s.phase !== 'exited') {
-      const running = s.phase === 'running';
-      if (running !== p.running) {
-        p.running = running;
-        j.shownRunning += running ? 1 : -1;
+    if (seen.phase !== 'exited') {
+      const running = seen.phase === 'running';
+      if (running !== placement.running) {
+        placement.running = running;
+        job.shownRunning += running ? 1 : -1;
         // Users are told `running` from the stored record; one write when the first task runs will do.
-        if (running && j.storedRunning === 0) {
-          j.storedRunning = 1;
-          j.dirtyCount = true;
-          this.transactions.mark(j, this.transactions.lazyMs());
+        if (running && job.storedRunning === 0) {
+          job.storedRunning = 1;
+          job.dirtyCount = true;
+          this.transactions.mark(job, this.transactions.lazyMs());
         }
-        if (running) this.o.log.debug({ job: s.job, idx: s.idx, machine: s.machine }, 'task runs');
+        if (running)
+          this.options.log.debug({ job: seen.job, idx: seen.idx, machine: seen.machine }, 'task runs');
       }
       return;
     }
-    this.o.log.debug(
-      { job: s.job, idx: s.idx, machine: s.machine, attempt: s.attempt, why: s.why },
+    this.options.log.debug(
+      { job: seen.job, idx: seen.idx, machine: seen.machine, attempt: seen.attempt, why: seen.why },
       'task ended',
     );
-    const now = this.o.clock.now();
-    if (s.why === 'done' && j.spec.shape !== 'service') {
-      if (j.count.add(p.idx)) j.dirtyCount = true;
+    const now = this.options.clock.now();
+    if (seen.why === 'done' && job.spec.shape !== 'service') {
+      if (job.count.add(placement.idx)) job.dirtyCount = true;
       // "When one is done, all are": the rest of a gang is counted with it, and settled as it is reported.
-      if (j.spec.shape === 'gang') for (let i = 0; i < j.spec.tasks; i++) j.count.add(i);
-      this.transactions.mark(j, j.count.full ? 0 : this.transactions.lazyMs());
-      j.failures = 0;
-      j.near = p.machine;
-    } else if (s.why === 'error' || s.why === 'unknown') {
-      j.failures++;
-      j.avoid.set(p.machine, now + 60000);
-      const pause = Math.min(60000, 500 * 2 ** Math.min(7, j.failures - 1));
-      j.holdUntil = now + pause;
-      this.o.log.info(
-        { job: s.job, idx: s.idx, machine: s.machine, why: s.why, pause_ms: pause },
+      if (job.spec.shape === 'gang') for (let i = 0; i < job.spec.tasks; i++) job.count.add(i);
+      this.transactions.mark(job, job.count.full ? 0 : this.transactions.lazyMs());
+      job.failures = 0;
+      job.near = placement.machine;
+    } else if (seen.why === 'error' || seen.why === 'unknown') {
+      job.failures++;
+      job.avoid.set(placement.machine, now + 60000);
+      const pause = Math.min(60000, 500 * 2 ** Math.min(7, job.failures - 1));
+      job.holdUntil = now + pause;
+      this.options.log.info(
+        { job: seen.job, idx: seen.idx, machine: seen.machine, why: seen.why, pause_ms: pause },
         'task failed',
       );
-      this.o.clock.after(pause, () => this.changed());
-    } else if (s.why === 'no_room' || s.why === 'busy') {
-      j.avoid.set(p.machine, now + 2000);
+      this.options.clock.after(pause, () => this.changed());
+    } else if (seen.why === 'no_room' || seen.why === 'busy') {
+      job.avoid.set(placement.machine, now + 2000);
     }
-    this.settle(j, p, s.why ?? 'exited');
+    this.settle(job, placement, seen.why ?? 'exited');
   }
 
   private changed(): void {
     this.wantsDirty = true;
-    this.o.wake();
+    this.options.wake();
   }
 
-  private reapStored(j: OwnedJob | undefined, s: Seen): void {
-    if (!j) return;
-    if (!j.count.has(s.idx) && (j.attempts.get(s.idx) ?? 0) <= s.attempt && j.placed.has(s.idx)) return;
-    if (j.busy || j.dirtyCount || j.dirtyChunks.has(Math.floor(s.idx / this.chunk))) return;
-    if (j.toReap.some((r) => r.placement.idx === s.idx)) return;
-    this.outHeld.push(heldOf(j, { ...s, season: 0 }, 'reap'));
+  private reapStored(job: OwnedJob | undefined, seen: Seen): void {
+    if (!job) return;
+    if (
+      !job.count.has(seen.idx) &&
+      (job.attempts.get(seen.idx) ?? 0) <= seen.attempt &&
+      job.placed.has(seen.idx)
+    )
+      return;
+    if (job.busy || job.dirtyCount || job.dirtyChunks.has(Math.floor(seen.idx / this.chunk))) return;
+    if (job.toReap.some((reap) => reap.placement.idx === seen.idx)) return;
+    this.outHeld.push(heldOf(job, { ...seen, season: 0 }, 'reap'));
   }
 
-  private settle(j: OwnedJob, p: Placement, why: string): void {
-    if (p.running) j.shownRunning--;
-    this.dropPlaced(j, p, why === 'gone' ? 'gone' : 'ended');
-    j.attempts.set(p.idx, Math.max(p.attempt, j.attempts.get(p.idx) ?? 0));
-    j.toReap.push({ placement: p, listed: why !== 'gone' });
-    if (isOver(j)) this.transactions.mark(j, 0);
+  private settle(job: OwnedJob, placement: Placement, why: string): void {
+    if (placement.running) job.shownRunning--;
+    this.dropPlaced(job, placement, why === 'gone' ? 'gone' : 'ended');
+    job.attempts.set(placement.idx, Math.max(placement.attempt, job.attempts.get(placement.idx) ?? 0));
+    job.toReap.push({ placement: placement, listed: why !== 'gone' });
+    if (isOver(job)) this.transactions.mark(job, 0);
     // What the counter holds is settled by it; its old placement needs no write of its own.
-    if (!j.count.has(p.idx)) {
-      j.dirtyChunks.add(Math.floor(p.idx / this.chunk));
-      this.transactions.mark(j, this.transactions.lazyMs());
-      j.fan.giveBack(p.idx);
-      if (j.spec.shape === 'gang')
-        for (const q of j.placed.values()) if (q.want === 'run') this.stopGangMate(j, q);
+    if (!job.count.has(placement.idx)) {
+      job.dirtyChunks.add(Math.floor(placement.idx / this.chunk));
+      this.transactions.mark(job, this.transactions.lazyMs());
+      job.fan.giveBack(placement.idx);
+      if (job.spec.shape === 'gang')
+        for (const mate of job.placed.values()) if (mate.want === 'run') this.stopGangMate(job, mate);
     }
     this.wantsDirty = true;
   }
 
   /** A gang that lost a task starts anew as a whole, once all its tasks are settled. */
-  private stopGangMate(j: OwnedJob, p: Placement): void {
-    this.stop(j, p, 0);
+  private stopGangMate(job: OwnedJob, placement: Placement): void {
+    this.stop(job, placement, 0);
   }
 
-  private stop(j: OwnedJob, p: Placement, graceS: number): void {
-    p.want = 'stop';
-    if (p.stored) this.outHeld.push(heldOf(j, p, 'stop', graceS, p.grant));
+  private stop(job: OwnedJob, placement: Placement, graceS: number): void {
+    placement.want = 'stop';
+    if (placement.stored) this.outHeld.push(heldOf(job, placement, 'stop', graceS, placement.grant));
   }
 
-  private evict(job: string, idx: number, attempt: number, why: string): void {
-    const j = this.jobs.get(job);
-    const p = j?.placed.get(idx);
-    if (!j || !p || p.attempt !== attempt || p.want === 'stop') return;
-    this.o.log.debug({ job, idx, machine: p.machine, why }, 'task stopped to make room');
-    const grace = j.spec.checkpointS > 0 ? j.spec.saveS + this.o.noticeGraceS : 0;
-    if (j.spec.shape === 'gang') {
-      for (const q of j.placed.values()) if (q.want === 'run') this.stop(j, q, grace);
-    } else this.stop(j, p, grace);
+  private evict(id: string, idx: number, attempt: number, why: string): void {
+    const job = this.jobs.get(id);
+    const placement = job?.placed.get(idx);
+    if (!job || !placement || placement.attempt !== attempt || placement.want === 'stop') return;
+    this.options.log.debug({ job: id, idx, machine: placement.machine, why }, 'task stopped to make room');
+    const grace = job.spec.checkpointS > 0 ? job.spec.saveS + this.options.noticeGraceS : 0;
+    if (job.spec.shape === 'gang') {
+      for (const mate of job.placed.values()) if (mate.want === 'run') this.stop(job, mate, grace);
+    } else this.stop(job, placement, grace);
   }
 
   // ---- work at the end of each batch of commands ------------------------------------------------
@@ -555,26 +568,27 @@
   }
 
   private wakeAt(at: number): void {
-    const now = this.o.clock.now();
+    const now = this.options.clock.now();
     if (!Number.isFinite(at) || (this.flushTimer > now && this.flushTimer <= at)) return;
     this.flushTimer = at;
-    this.o.clock.after(Math.max(1, at - now), () => this.o.wake());
+    this.options.clock.after(Math.max(1, at - now), () => this.options.wake());
   }
 
   private tell(): void {
     if (this.token === 0) return;
-    const base = { token: this.token, inst: this.o.inst };
+    const base = { token: this.token, inst: this.options.inst };
     if (this.needSync) {
       this.needSync = false;
       this.outHeld = [];
       this.outDrop = { tasks: [], grants: [] };
       this.dropNew();
       const held: Held[] = [];
-      for (const j of this.jobs.values()) {
-        for (const p of j.placed.values()) if (p.stored) held.push(heldOf(j, p, p.want));
-        for (const r of j.toReap) {
+      for (const job of this.jobs.values()) {
+        for (const placement of job.placed.values())
+          if (placement.stored) held.push(heldOf(job, placement, placement.want));
+        for (const reap of job.toReap) {
           // Settled but not yet stored so: still ours, or the scheduler would reap what nobody claims.
-          if (r.listed) held.push(heldOf(j, r.placement, 'keep'));
+          if (reap.listed) held.push(heldOf(job, reap.placement, 'keep'));
         }
       }
       const gens = this.gens();
@@ -584,7 +598,7 @@
       const sync = ++this.syncs;
       const parts = Math.max(1, Math.ceil(held.length / SYNC_PART));
       for (let i = 0; i < parts; i++)
-        this.o.send({
+        this.options.send({
           k: 'sync',
           ...base,
           sync,
@@ -598,23 +612,23 @@
     }
     if (!this.synced) return;
     if (this.outHeld.length > 0) {
-      this.o.send({ k: 'held', ...base, held: this.outHeld });
+      this.options.send({ k: 'held', ...base, held: this.outHeld });
       this.outHeld = [];
       this.heldSent++;
     }
     // After the stops that follow from what was read.
-    const mark = this.marks.by(this.o.openReadAsOf());
+    const mark = this.marks.by(this.options.openReadAsOf());
     if (mark !== null && mark > this.coveredTold) {
       this.coveredTold = mark;
       const n = this.heldSent;
-      this.o.send({ k: 'covered', ...base, sync: this.syncs, n, gens: this.gens(), mark });
+      this.options.send({ k: 'covered', ...base, sync: this.syncs, n, gens: this.gens(), mark });
     }
     if (this.outDrop.tasks.length + this.outDrop.grants.length > 0) {
-      this.o.send({ k: 'drop', ...base, ...this.outDrop });
+      this.options.send({ k: 'drop', ...base, ...this.outDrop });
       this.outDrop = { tasks: [], grants: [] };
     }
     if (this.wantsDirty) {
-      const now = this.o.clock.now();
+      const now = this.options.clock.now();
       if (now < this.wantsAt) return this.wakeAt(this.wantsAt);
       this.wantsDirty = false;
       const wants = this.listWants();
@@ -623,13 +637,13 @@
       const text = JSON.stringify(wants);
       if (text === this.lastWants) return;
       this.lastWants = text;
-      this.o.send({ k: 'wants', ...base, wants });
+      this.options.send({ k: 'wants', ...base, wants });
     }
   }
 
   private gens(): Record<string, number> {
     const gens: Record<string, number> = {};
-    for (const [name, t] of this.teams) if (t.loaded) gens[name] = t.gen;
+    for (const [name, team] of this.teams) if (team.loaded) gens[name] = team.gen;
     return gens;
   }
 
@@ -639,9 +653,9 @@
       teams: [...this.teams].filter(([, team]) => team.loaded).map(([name]) => name),
       order: this.order,
       usage: this.usage,
-      batch: this.o.batch,
-      nowMs: this.o.clock.now(),
-      wallMs: this.o.clock.wall(),
+      batch: this.options.batch,
+      nowMs: this.options.clock.now(),
+      wallMs: this.options.clock.wall(),
       lastGrant: this.lastGrant,
     });
   }
@@ -651,48 +665,48 @@
    * in doubt stays and counts: given back, its room would be granted to other jobs and the team go over its limit.
    */
   private dropNew(): void {
-    for (const j of this.jobs.values()) {
-      if (isInDoubt(j)) continue;
-      for (const p of [...j.placed.values()]) {
-        if (p.stored) continue;
-        this.dropPlaced(j, p, 'returned');
-        this.transactions.mark(j, 0);
-        j.fan.giveBack(p.idx);
+    for (const job of this.jobs.values()) {
+      if (isInDoubt(job)) continue;
+      for (const placement of [...job.placed.values()]) {
+        if (placement.stored) continue;
+        this.dropPlaced(job, placement, 'returned');
+        this.transactions.mark(job, 0);
+        job.fan.giveBack(placement.idx);
       }
     }
   }
 
   // ---- what follows from writes ------------------------------------------------------------------
 
-  placementStored(j: OwnedJob, p: Placement): void {
-    if (j.cancelled) p.want = 'stop';
-    this.outHeld.push(heldOf(j, p, p.want, 0, p.grant));
-    this.o.log.debug(
+  placementStored(job: OwnedJob, placement: Placement): void {
+    if (job.cancelled) placement.want = 'stop';
+    this.outHeld.push(heldOf(job, placement, placement.want, 0, placement.grant));
+    this.options.log.debug(
       {
-        job: j.spec.id,
-        idx: p.idx,
-        attempt: p.attempt,
-        machine: p.machine,
-        team: j.spec.team,
-        grant: p.grant,
-        ...this.usage.describe(j.spec.team),
+        job: job.spec.id,
+        idx: placement.idx,
+        attempt: placement.attempt,
+        machine: placement.machine,
+        team: job.spec.team,
+        grant: placement.grant,
+        ...this.usage.describe(job.spec.team),
       },
       'placement stored',
     );
   }
 
-  outcomeStored(j: OwnedJob, { placement, listed }: SettledPlacement): void {
-    if (listed) return void this.outHeld.push(heldOf(j, placement, 'reap'));
-    const key = taskKey(j.spec.id, placement.idx, placement.attempt);
+  outcomeStored(job: OwnedJob, { placement, listed }: SettledPlacement): void {
+    if (listed) return void this.outHeld.push(heldOf(job, placement, 'reap'));
+    const key = taskKey(job.spec.id, placement.idx, placement.attempt);
     this.outDrop.tasks.push({ machine: placement.machine, key });
   }
 
-  counterFull(j: OwnedJob): void {
-    this.o.log.debug({ job: j.spec.id }, 'counter full: job done');
+  counterFull(job: OwnedJob): void {
+    this.options.log.debug({ job: job.spec.id }, 'counter full: job done');
   }
 
-  filed(j: OwnedJob): void {
-    this.forget(j.spec.id);
-    this.o.log.debug({ job: j.spec.id, cancelled: j.cancelled, done: j.count.n }, 'job filed');
+  filed(job: OwnedJob): void {
+    this.forget(job.spec.id);
+    this.options.log.debug({ job: job.spec.id, cancelled: job.cancelled, done: job.count.n }, 'job filed');
   }
 }
