--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -1,4 +1,5 @@
 import { Marks } from '../horizon.js';
+import { LimitedLog } from '../limited-log.js';
 import { chunkSize, readJob, releaseWindow, type StoredJob } from '../records.js';
 import {
   type Clock,
@@ -82,6 +83,7 @@
   private readonly fence: WriteFence;
   private readonly transactions: JobTransactions;
   private readonly usageLog: UsageLog;
+  private readonly limitedLog: LimitedLog;
   private readonly archived = new Set<string>();
   private readonly chunk: number;
   private readonly window: number;
@@ -100,6 +102,7 @@
     this.chunk = chunkSize(options.valueKb);
     this.order = new ReleaseOrder(options.objectives);
     this.usage = new TeamUsage(options.teams);
+    this.limitedLog = new LimitedLog(options.log, options.clock);
     this.usageLog = new UsageLog(this.usage, options.clock, options.log);
     this.window = releaseWindow(options.valueKb);
     this.fence = new WriteFence({
@@ -498,6 +501,8 @@
       this.options.clock.after(pause, () => this.changed());
     } else if (seen.why === 'no_room' || seen.why === 'busy') {
       job.avoid.set(placement.machine, now + 2000);
+      const { idx, attempt, machine, why } = seen;
+      this.limitedLog.info({ job: seen.job, idx, attempt, machine, why }, 'start refused');
     }
     this.settle(job, placement, seen.why ?? 'exited');
   }
