Tests that fail: a gang refused as busy at each attempt, whatever ended its first one

Symptom: a gang waits beside free machines; each attempt is refused by some machine that lists an ended attempt of the same task, which ends the attempt of all.

The stand-in of the worker counts refusals.

--- /dev/null
+++ b/test/gang-attempts.test.ts
@@ -0,0 +1,195 @@
+import { expect, test } from 'vitest';
+import { job } from './standin/day.js';
+import { SHAPE } from './standin/shape.js';
+import { World } from './standin/world.js';
+
+// What happens: a gang's attempt ends before it has begun. Its tasks were started by direct commands, so their machines go on
+// listing them as ended until a higher token (a late repeat of the command must find them). The next attempt gives the tasks
+// to machines anew, some meet the machine that lists their own ended attempt, and it refuses them as `busy`. One refusal ends
+// the attempt, and 76 of 80 tasks are left behind as ended on still more machines.
+//
+// What showed it: seed 2 of "as all controllers go" in gangs.test.ts. 28 attempts from 46 s to 163 s, each with 4 to 44 tasks
+// refused, all others stopped; only machines with a `busy` line were passed over, and most of those were met for the first time;
+// attempts 10 and 20 began 3 s after a higher token, before its leader had removed anything.
+//
+// A seed draws the gang, the fleet and the trouble. By hand: FROM=1 SEEDS=1000.
+
+/** Seeds whose gang was not done, or not in time, before the mend. */
+const FOUND = [52, 271, 317, 327, 340, 388];
+const { FROM, SEEDS } = process.env;
+const drawn = Array.from({ length: Number(SEEDS ?? 16) }, (_, i) => Number(FROM ?? 1) + i);
+const days = FROM ? drawn : [...FOUND, ...drawn];
+
+const STARTS_WITHIN_MS = 240_000;
+const RUN_MS = 6000;
+/** Tokens taken once the troubles are over: one for a trouble that ends after them, one for ended attempts in the way. */
+const MOST_TOKENS = 2;
+
+type Phase = 'fetching' | 'waiting' | 'running' | 'saving';
+
+/** One gang in a deployment drawn by the seed. */
+class GangDay {
+  readonly world: World;
+  readonly gang: string;
+  private readonly records: number;
+
+  constructor(readonly seed: number) {
+    const types = [{ ...SHAPE.types[0]!, bootS: 8 }];
+    const teams = [{ name: 'red', cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 }];
+    this.world = new World(seed, { ...SHAPE, ops: 4, valueKb: 1, capacity: 40, teams, types });
+    // No machine on which everything fails.
+    this.world.faulty.add = () => this.world.faulty;
+    const { sim } = this.world;
+    const tasks = sim.pick([2, 5, 20, 40, 80, 80]);
+    const spec = job(this.world, {
+      shape: 'gang',
+      rank: 2,
+      tasks,
+      cpus: tasks <= 5 ? 4 : 1,
+      mem: 0.5,
+      spot: false,
+      together: sim.chance(0.3),
+      imageGb: sim.pick([0.1, 2, 8]),
+      checkpointS: 1,
+      saveS: 2,
+    });
+    this.gang = spec.id;
+    this.records = Math.ceil(tasks / 16);
+    this.world.runMs = (id) => (id === spec.id ? RUN_MS : 4000);
+    this.world.submit(spec);
+  }
+
+  stored(): number {
+    const prefix = `place/${this.gang}/`;
+    return [...this.world.state.keys.keys()].filter((key) => key.startsWith(prefix)).length;
+  }
+
+  /** Machines with a task of the gang in this phase. */
+  machinesIn(phase: Phase): string[] {
+    return [...this.world.workers.values()]
+      .filter((worker) => worker.tasks.some((task) => task.job === this.gang && task.phase === phase))
+      .map((worker) => worker.name);
+  }
+
+  /** Runs until this holds, or the gang is done. */
+  until(holds: () => boolean, ms = 90_000): boolean {
+    const { sim, jobs } = this.world;
+    const end = sim.now + ms;
+    while (sim.now < end && jobs.get(this.gang)?.told !== 'done') {
+      if (holds()) return true;
+      sim.run(sim.now + 1);
+    }
+    return false;
+  }
+
+  untilStored(records: number): boolean {
+    return this.until(() => this.stored() >= Math.min(records, this.records));
+  }
+
+  leader(): string {
+    const { hosts, procs } = this.world;
+    return hosts.find((host) => procs.get(host)?.ctl.status().scheduler) ?? hosts[0]!;
+  }
+
+  owner(): string {
+    const { hosts, procs } = this.world;
+    return (
+      hosts.find((host) => (procs.get(host)!.ctl.status().teams as string[]).includes('red')) ?? hosts[0]!
+    );
+  }
+
+  /** The newest fencing token that any worker has seen. */
+  token(): number {
+    return Math.max(0, ...[...this.world.workers.values()].map((worker) => worker.token));
+  }
+
+  killAll(): void {
+    for (const host of this.world.hosts) this.world.kill(host, 2000);
+  }
+
+  /** A machine of the gang goes for good, or hangs for a while. */
+  loseIn(phase: Phase): void {
+    if (!this.until(() => this.machinesIn(phase).length > 0)) return;
+    const { sim, workers } = this.world;
+    const name = sim.pick(this.machinesIn(phase));
+    if (sim.chance(0.5)) return this.world.destroy(name);
+    const worker = workers.get(name)!;
+    worker.hung = true;
+    sim.after(15_000, () => {
+      worker.hung = false;
+    });
+  }
+
+  /** Urgent work has the gang stopped, which saves; a machine goes as it does. */
+  loseSaving(): void {
+    this.world.runMs = (id) => (id === this.gang ? 30_000 : 4000);
+    if (!this.until(() => this.machinesIn('running').length > 0)) return;
+    this.world.submit(job(this.world, { rank: 1, tasks: 200, cpus: 4, mem: 1, spot: false }));
+    this.loseIn('saving');
+    this.world.runMs = (id) => (id === this.gang ? RUN_MS : 4000);
+  }
+}
+
+const TROUBLES: Record<string, (day: GangDay) => void> = {
+  'the owner goes between two transactions': (day) => {
+    day.untilStored(1);
+    day.world.kill(day.owner(), 3000);
+  },
+  'the leader goes between two transactions': (day) => {
+    day.untilStored(1);
+    day.world.kill(day.leader(), 3000);
+  },
+  'the state service goes between two transactions': (day) => {
+    day.untilStored(1);
+    day.world.state.setDown(true);
+    day.world.sim.after(12_000, () => day.world.state.setDown(false));
+  },
+  'all controllers go after the first transaction': (day) => {
+    day.untilStored(1);
+    day.killAll();
+  },
+  'all controllers go after the second transaction': (day) => {
+    day.untilStored(2);
+    day.killAll();
+  },
+  'all controllers go after the third transaction': (day) => {
+    day.untilStored(3);
+    day.killAll();
+  },
+  'all controllers go after the fourth transaction': (day) => {
+    day.untilStored(4);
+    day.killAll();
+  },
+  'the leader stands still': (day) => {
+    day.untilStored(1);
+    day.world.pause(day.leader(), 8000);
+  },
+  'it loses a machine while it fetches': (day) => day.loseIn('fetching'),
+  'it loses a machine while it waits': (day) => day.loseIn('waiting'),
+  'it loses a machine while it runs or saves': (day) => {
+    if (day.seed % 2 === 0) day.loseIn('running');
+    else day.loseSaving();
+  },
+};
+const NAMES = Object.keys(TROUBLES);
+
+test.each(days.map((seed) => [seed, NAMES[seed % NAMES.length]!] as const))(
+  'gang %i begins beside free machines however often its attempts ended: %s',
+  (seed, trouble) => {
+    const day = new GangDay(seed);
+    const { world } = day;
+    for (let times = world.sim.pick([1, 1, 2, 3]); times > 0; times--) {
+      TROUBLES[trouble]!(day);
+      world.sim.run(world.sim.now + 5000);
+    }
+    world.quietFrom = world.sim.now;
+    const before = day.token();
+    world.sim.run(world.sim.now + STARTS_WITHIN_MS);
+    expect(world.broken).toEqual([]);
+    expect(world.unfinished()).toEqual([]);
+    // Each refusal ends an attempt and stops all its tasks; each token costs a new leader's beginning.
+    expect(world.busyRefusals).toBe(0);
+    expect(day.token() - before).toBeLessThanOrEqual(MOST_TOKENS);
+  },
+  120_000,
+);
--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -25,6 +25,8 @@
   gangMates(job: string, attempt: number): Task[];
   /** A running task of a gang was told to stop. */
   gangTold(task: Task): void;
+  /** A start was refused since another attempt of the task is listed. */
+  refusedAsBusy(): void;
   isDone(job: string, idx: number): boolean;
   setDone(job: string, idx: number): void;
 }
@@ -195,9 +197,10 @@
     const t: Task = { job, idx, attempt, phase: 'fetching', why: null, saved: false, gen: this.gen };
     const live = this.tasks.filter((x) => x.phase !== 'exited');
     if (!s) Object.assign(t, { phase: 'exited', why: 'unknown' });
-    else if (this.tasks.some((x) => x.job === job && x.idx === idx))
+    else if (this.tasks.some((x) => x.job === job && x.idx === idx)) {
+      this.w.refusedAsBusy();
       Object.assign(t, { phase: 'exited', why: 'busy' });
-    else {
+    } else {
       let cpus = s.cpus;
       let mem = s.mem;
       for (const x of live) {
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -99,6 +99,8 @@
   quietFrom = Number.POSITIVE_INFINITY;
   capacity: number;
   starts = 0;
+  /** Starts that workers refused since they list another attempt of the task. */
+  busyRefusals = 0;
   readonly service: ServiceLevel;
   readonly admission: Admission;
   private machines = 0;
@@ -323,6 +325,7 @@
           .filter((x) => x.alive && !x.hung)
           .flatMap((x) => x.tasks.filter((t) => t.job === job && t.attempt === attempt)),
       gangTold: (task: Task) => this.gangTold(task),
+      refusedAsBusy: () => this.busyRefusals++,
       isDone: (job: string, idx: number) => this.done.has(`${job}/${idx}`),
       setDone: (job: string, idx: number) => {
         this.done.add(`${job}/${idx}`);
