Gangs: no task meets its own ended attempt, and only what refuses all tasks is passed over

`nothing` is cleared by each grant, so it asked for tokens late, and one fitting machine is no question for a gang.

Ruled out: waiting longer after a token (attempts then last as long as the removal takes, 3 s and a report); passing over each machine that lists any task of the job (in a fleet where all do, only tokens were left); removing directly started attempts earlier (a late repeat of the command would start them again).

Change: ended attempts that machines list are indexed by job (ended-attempts.ts). The tasks of a gang are matched to its machines (task-assignment.ts), by the leader when it chooses them and by the owner when it takes them; a grant tells what its machine lists. Arrays and replicas take the next task that the machine does not list, and their wants tell the tasks left where few are. Passed over is what refuses all tasks left (refusals.ts); a higher token is asked for only where a want would have been placed in that very pass but for ended attempts, for 15 s; such attempts are removed without waiting for others.

--- a/src/core/autoscale.ts
+++ b/src/core/autoscale.ts
@@ -1,4 +1,4 @@
-import { allowed, emptyRoom, fill, fits, type Room, slots, take } from './room.js';
+import { allowed, avoids, emptyRoom, fill, fits, type Room, slots, take } from './room.js';
 import type { MachineType, Want } from './types.js';
 
 export interface Rental {
@@ -130,7 +130,7 @@
   for (const r of rooms) {
     if (left <= 0) break;
     const t = types.get(r.type);
-    if (!t || !fits(r, w) || !allowed(r, w) || w.avoid.includes(r.name)) continue;
+    if (!t || !fits(r, w) || !allowed(r, w) || avoids(w, r.name)) continue;
     if (w.spotOnly && !r.spot) continue;
     const each = runsEach(t, w);
     const n = Math.min(slots(r, w), Math.ceil(left / each));
--- /dev/null
+++ b/src/core/ended-attempts.ts
@@ -0,0 +1,65 @@
+import type { Machine } from './machine.js';
+import type { TaskReport } from './types.js';
+
+/** The tasks of one job of which a machine lists an ended attempt. */
+export interface EndedTasks {
+  readonly tasks: ReadonlySet<number>;
+  /** One of them is an attempt that the machine refused as busy. */
+  readonly refused: boolean;
+}
+
+export const NO_ENDED_TASKS: ReadonlyMap<string, EndedTasks> = new Map();
+
+/**
+ * Ended attempts that machines list, by job.
+ *
+ * A machine refuses a task of which it lists another attempt, ended or not, as `busy`. An ended attempt stays listed until it
+ * is removed, and one that was started directly may only be removed under a higher token (`Scheduler.mayReap`). Tasks
+ * that are done are left out: they are never placed again.
+ */
+export class EndedAttempts {
+  private readonly machines = new Map<string, Map<string, Machine>>();
+
+  /** The list of a machine has changed; costs by its length. */
+  update(machine: Machine, listed: readonly TaskReport[]): void {
+    const now = endedTasksOf(listed);
+    for (const job of machine.endedTasks.keys()) if (!now.has(job)) this.remove(job, machine);
+    for (const job of now.keys()) this.add(job, machine);
+    machine.endedTasks = now;
+  }
+
+  /** Machines that list ended attempts of a job. */
+  machinesOf(job: string): Iterable<Machine> {
+    return this.machines.get(job)?.values() ?? [];
+  }
+
+  /** Whether any machine lists an ended attempt of a job. */
+  has(job: string): boolean {
+    return this.machines.has(job);
+  }
+
+  private add(job: string, machine: Machine): void {
+    const machines = this.machines.get(job);
+    if (machines) machines.set(machine.name, machine);
+    else this.machines.set(job, new Map([[machine.name, machine]]));
+  }
+
+  private remove(job: string, machine: Machine): void {
+    const machines = this.machines.get(job);
+    machines?.delete(machine.name);
+    if (machines?.size === 0) this.machines.delete(job);
+  }
+}
+
+function endedTasksOf(listed: readonly TaskReport[]): ReadonlyMap<string, EndedTasks> {
+  let byJob: Map<string, { tasks: Set<number>; refused: boolean }> | null = null;
+  for (const { job, idx, phase, why } of listed) {
+    if (phase !== 'exited' || why === 'done') continue;
+    byJob ??= new Map();
+    const ended = byJob.get(job) ?? { tasks: new Set(), refused: false };
+    ended.tasks.add(idx);
+    if (why === 'busy') ended.refused = true;
+    byJob.set(job, ended);
+  }
+  return byJob ?? NO_ENDED_TASKS;
+}
--- a/src/core/graph.ts
+++ b/src/core/graph.ts
@@ -74,6 +74,13 @@
     return -1;
   }
 
+  /** Inputs that may be taken now, in the order in which they would be. */
+  waiting(taken: (i: number) => boolean): number[] {
+    const waiting = this.back.filter((i) => !taken(i));
+    for (let i = this.next; i < this.size && i - this.low < this.window; i++) if (!taken(i)) waiting.push(i);
+    return waiting;
+  }
+
   /** A successor that lost its place goes to the front. */
   giveBack(i: number): void {
     if (i >= this.next || this.returned.has(i)) return;
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -1,4 +1,5 @@
 import { Capacity } from './autoscale.js';
+import { EndedAttempts } from './ended-attempts.js';
 import { type Cover, coversMachine, Horizons, windowMs } from './horizon.js';
 import type { ImageFacts } from './images.js';
 import { type Entry, emptySum, type Machine, newMachine, provenAt, sumUp } from './machine.js';
@@ -105,6 +106,9 @@
   /** Until then work is short of places. */
   shortUntil = 0;
   readonly reserved = new Set<Machine>();
+  readonly endedAttempts = new EndedAttempts();
+  /** Machines whose ended attempts alone keep work waiting: they are removed without waiting for others. */
+  blocking: ReadonlySet<string> = new Set();
   /** Machines with places that a waiting gang has gathered: they are kept although they are empty. */
   gathered: ReadonlySet<string> = new Set();
   /** Refused rentals. */
@@ -265,24 +269,6 @@
     return false;
   }
 
-  /** Where attempts of a job were refused for others that are listed still. */
-  readonly lingering = new Map<string, Set<Machine>>();
-
-  setLingers(m: Machine, jobs: ReadonlySet<string>): void {
-    for (const job of m.lingers) {
-      if (jobs.has(job)) continue;
-      const at = this.lingering.get(job);
-      at?.delete(m);
-      if (at?.size === 0) this.lingering.delete(job);
-    }
-    for (const job of jobs) {
-      const at = this.lingering.get(job);
-      if (at) at.add(m);
-      else this.lingering.set(job, new Set([m]));
-    }
-    m.lingers = jobs;
-  }
-
   /** An entry is to be stopped. */
   noteStop(m: Machine, e: Entry): void {
     e.want = 'stop';
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -1,3 +1,4 @@
+import { type EndedTasks, NO_ENDED_TASKS } from './ended-attempts.js';
 import type { Held, TaskReport, WorkerReport } from './types.js';
 import { taskKey } from './types.js';
 
@@ -68,8 +69,8 @@
   leaving: boolean;
   idleSince: number;
   errors: Map<string, number>;
-  /** Jobs of which this machine refused an attempt for another that it lists. */
-  lingers: ReadonlySet<string>;
+  /** By job: of which tasks it lists an ended attempt. */
+  endedTasks: ReadonlyMap<string, EndedTasks>;
   strangers: Map<string, number>;
   /** Room being freed here by stops is for this job. */
   reserved: { job: string; rank: number; until: number } | null;
@@ -157,19 +158,6 @@
   return s;
 }
 
-const NONE: ReadonlySet<string> = new Set();
-
-/** The jobs of which a worker has refused an attempt since it lists another: it will refuse the next as well. */
-export function lingering(tasks: readonly TaskReport[]): ReadonlySet<string> {
-  let jobs: Set<string> | null = null;
-  for (const t of tasks)
-    if (t.phase === 'exited' && t.why === 'busy') {
-      jobs ??= new Set();
-      jobs.add(t.job);
-    }
-  return jobs ?? NONE;
-}
-
 export function newMachine(name: string, now: number): Machine {
   return {
     name,
@@ -207,7 +195,7 @@
     leaving: false,
     idleSince: now,
     errors: new Map(),
-    lingers: NONE,
+    endedTasks: NO_ENDED_TASKS,
     strangers: new Map(),
     reserved: null,
     runs: 0,
--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -1,6 +1,7 @@
 import { Marks } from '../horizon.js';
 import { LimitedLog } from '../limited-log.js';
 import { chunkSize, readJob, releaseWindow, type StoredJob } from '../records.js';
+import { assignTasks } from '../task-assignment.js';
 import {
   type Clock,
   type Grant,
@@ -61,6 +62,9 @@
 /** Pause before a read that failed is repeated. */
 const RETRY_MS = 300;
 
+/** So long a machine gets none of a job's tasks after it has refused one, or would have. */
+const AVOID_AFTER_REFUSAL_MS = 2000;
+
 /** Most placements told in one message. */
 const SYNC_PART = 400;
 
@@ -390,13 +394,9 @@
     }
     for (const [id, offered] of byJob) {
       const job = this.jobs.get(id);
-      const gang = job?.spec.shape === 'gang';
       const ok = job && !job.cancelled && !job.reloading && !job.count.full && this.synced;
-      if (!ok || (gang && !this.admitsGang(job, offered))) {
-        this.outDrop.grants.push(...offered.map((grant) => grant.id));
-        continue;
-      }
-      for (const grant of offered) if (!this.place(job, grant)) this.outDrop.grants.push(grant.id);
+      const placed = new Set(ok ? this.takePlaces(job, offered) : []);
+      for (const grant of offered) if (!placed.has(grant)) this.outDrop.grants.push(grant.id);
     }
     this.wantsDirty = true;
   }
@@ -410,18 +410,61 @@
     if (grants.length !== spec.tasks || job.placed.size > 0) return false;
     const left = this.usage.remaining(spec.team);
     if (left === null || tasksWithin(left, spec) < spec.tasks) return false;
-    const zones = new Set(grants.map((grant) => grant.zone));
-    return !spec.together || zones.size === 1;
+    const byZone = new Map<string, number>();
+    for (const { zone } of grants) byZone.set(zone, (byZone.get(zone) ?? 0) + 1);
+    if (spec.zone !== null && [...byZone.keys()].some((zone) => zone !== spec.zone)) return false;
+    if (spec.apart && Math.max(...byZone.values()) > Math.ceil(spec.tasks / 2)) return false;
+    return !spec.together || byZone.size === 1;
+  }
+
+  /** Places tasks of a job on what it is offered. Returns the grants taken. */
+  private takePlaces(job: OwnedJob, grants: Grant[]): Grant[] {
+    return job.spec.shape === 'gang' ? this.placeGang(job, grants) : this.placeEach(job, grants);
   }
 
-  private place(job: OwnedJob, grant: Grant): boolean {
-    if (!this.usage.admits(job.spec)) return false;
-    if (!zoneAllows(job, grant.zone)) return false;
-    const idx = job.fan.take(
-      (i) => job.count.has(i) || job.placed.has(i),
-      (i) => job.count.has(i),
+  /** Takes all of these places for a gang, or none. Returns those taken. */
+  private placeGang(job: OwnedJob, grants: Grant[]): Grant[] {
+    if (!this.admitsGang(job, grants)) return [];
+    const { tasks } = assignTasks(
+      Array.from({ length: job.spec.tasks }, (_, idx) => idx),
+      grants.map((grant) => grant.endedTasks && new Set(grant.endedTasks)),
     );
-    if (idx < 0) return false;
+    // A machine that lists an ended attempt of its task would refuse it, and all others would be stopped.
+    if (tasks.includes(undefined)) return [];
+    grants.forEach((grant, place) => this.place(job, grant, tasks[place]!));
+    return grants;
+  }
+
+  /** Takes those of these places that the tasks of an array or service may use. */
+  private placeEach(job: OwnedJob, grants: Grant[]): Grant[] {
+    return grants.filter((grant) => {
+      if (!this.usage.admits(job.spec) || !zoneAllows(job, grant.zone)) return false;
+      const idx = this.nextTask(job, grant);
+      if (idx < 0) return false;
+      this.place(job, grant, idx);
+      return true;
+    });
+  }
+
+  /** The next task to be placed, other than those of which the machine lists an ended attempt; -1: none. */
+  private nextTask(job: OwnedJob, { machine, endedTasks }: Grant): number {
+    const refused: number[] = [];
+    let idx = -1;
+    for (;;) {
+      idx = job.fan.take(
+        (i) => job.count.has(i) || job.placed.has(i),
+        (i) => job.count.has(i),
+      );
+      if (idx < 0 || !endedTasks?.includes(idx)) break;
+      refused.push(idx);
+    }
+    for (const task of refused) job.fan.giveBack(task);
+    if (idx < 0 && refused.length > 0)
+      job.avoid.set(machine, this.options.clock.now() + AVOID_AFTER_REFUSAL_MS);
+    return idx;
+  }
+
+  private place(job: OwnedJob, grant: Grant, idx: number): void {
     const attempt = job.spec.shape === 'gang' ? gangAttempt(job) : (job.attempts.get(idx) ?? 0) + 1;
     this.putPlaced(
       job,
@@ -440,7 +483,6 @@
     );
     job.dirtyChunks.add(Math.floor(idx / this.chunk));
     this.transactions.mark(job, 0);
-    return true;
   }
 
   private saw(seen: Seen): void {
@@ -500,7 +542,7 @@
       );
       this.options.clock.after(pause, () => this.changed());
     } else if (seen.why === 'no_room' || seen.why === 'busy') {
-      job.avoid.set(placement.machine, now + 2000);
+      job.avoid.set(placement.machine, now + AVOID_AFTER_REFUSAL_MS);
       const { idx, attempt, machine, why } = seen;
       this.limitedLog.info({ job: seen.job, idx, attempt, machine, why }, 'start refused');
     }
--- a/src/core/owner/wants.ts
+++ b/src/core/owner/wants.ts
@@ -4,6 +4,8 @@
 import { TeamBudget } from './team-budget.js';
 import type { TeamUsage } from './team-usage.js';
 
+/** Tasks left of a job up to which they are told one by one. */
+const MOST_TASKS_TOLD = 16;
 /** Failures of a job in a row from which it is tried with one task at a time. */
 const FAILURES_TO_THROTTLE = 3;
 
@@ -84,6 +86,7 @@
     ...zonesLeft(job),
     together: spec.together,
     avoid: machinesToAvoid(job, input.nowMs),
+    ...tasksLeft(job),
     near: job.near,
     patienceS: null,
     ...slack(spec, input),
@@ -104,6 +107,15 @@
   return { zone, zoneRoom, zoneCap };
 }
 
+/** See `Want.tasksLeft`: a task that never had an attempt is listed nowhere. */
+function tasksLeft(job: OwnedJob): Pick<Want, 'tasksLeft'> {
+  const { spec, count, placed, attempts, fan } = job;
+  const left = spec.tasks - count.n - placed.size;
+  if (spec.shape === 'gang' || left > MOST_TASKS_TOLD || attempts.size === 0) return {};
+  const tasks = fan.waiting((task) => count.has(task) || placed.has(task));
+  return tasks.some((task) => attempts.has(task)) ? { tasksLeft: tasks } : {};
+}
+
 function machinesToAvoid(job: OwnedJob, nowMs: number): string[] {
   const machines: string[] = [];
   for (const [machine, until] of job.avoid) {
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -3,7 +3,8 @@
 import type { Ledger, SchedulerOptions, WantRef } from './ledger.js';
 import { type Machine, newEntry, provenAt } from './machine.js';
 import { addUse, Preemption, type Usage } from './preemption.js';
-import { allowed, fill, fits, type Room, shapeKey } from './room.js';
+import { Refusals } from './refusals.js';
+import { avoidsAny, fill, type Room, shapeKey, take } from './room.js';
 import type { Grant, Want } from './types.js';
 
 /** Part of an aim on waiting after which lower work is stopped for it. */
@@ -11,8 +12,6 @@
 
 /** So long nothing of a job may find room before it takes what is kept for others. */
 const STARVED_MS = 45000;
-/** So long only machines that list ended attempts of a job may have room for it. */
-const LINGER_MS = 15000;
 
 /** What a pass knows. */
 interface Pass {
@@ -39,12 +38,14 @@
   private readonly full = new Set<string>();
   private readonly preemption: Preemption;
   private readonly gathering: GangGathering;
+  private readonly refusals: Refusals;
 
   constructor(
     private readonly o: SchedulerOptions,
     private readonly l: Ledger,
   ) {
     this.gathering = new GangGathering(l);
+    this.refusals = new Refusals(l, (why) => o.raise(why));
     this.preemption = new Preemption(o, l, (job) => this.unmet.get(job));
     for (const a of o.objectives) {
       if (a.kind === 'wait') this.waits.set(a.cls, Math.min(a.withinS, this.waits.get(a.cls) ?? a.withinS));
@@ -96,6 +97,7 @@
     this.full.clear();
     this.preemption.beginPass();
     this.gathering.beginPass();
+    this.refusals.beginPass();
     if (now - this.l.scarceAt > 1000) {
       this.l.scarceAt = now;
       this.l.scarce = this.findScarceZone();
@@ -140,17 +142,19 @@
       const key =
         want.whole || held.has(want.job) ? null : `${shapeKey(want)}|${rooms === list ? '' : want.image}`;
       if (key !== null && this.full.has(key)) return count;
-      const left = fill(rooms, want, count, scarce, (r) => {
+      const give = (r: Room) => {
         const m = this.l.machines.get(r.name) as Machine;
         addUse(usage, want);
         const g = this.grant(m, want, now);
         const l = grants.get(inst);
         if (l) l.push(g);
         else grants.set(inst, [g]);
-      });
+      };
+      if (want.whole) return this.placeGang(rooms, want, count, give);
+      const left = fill(rooms, want, count, scarce, give);
       // One that must be spread or joined may have left some for want of a zone, and not of room.
       const none = want.zoneRoom || want.together ? left === count : left > 0;
-      if (key !== null && none && want.avoid.length === 0) this.full.add(key);
+      if (key !== null && none && !avoidsAny(want)) this.full.add(key);
       return left;
     };
     const finish = (ref: WantRef & { inside: boolean }, count: number): void => {
@@ -164,8 +168,13 @@
         if (open > 0 && ready) open -= this.preemption.preempt(want, open, usage, now, true);
       }
       open = place(ref, open, list);
-      if (open < count) this.nothing.delete(want.job);
-      else if (!this.nothing.has(want.job)) this.nothing.set(want.job, now);
+      if (open < count) {
+        this.nothing.delete(want.job);
+        this.refusals.placed(want.job);
+      } else {
+        if (!this.nothing.has(want.job)) this.nothing.set(want.job, now);
+        this.refusals.unplaced(want, count, list, now);
+      }
       if (open <= 0) return void this.unmet.delete(want.job);
       if (want.whole) return void left.push(...this.gather(ref, open, { rooms: list, promised, usage, now }));
       // Room that stops already under way will free is waited for before more is stopped; what comes into it
@@ -174,7 +183,7 @@
       let waiting = open;
       if (!this.full.has(key)) {
         waiting = fill(promised, want, open, scarce, () => addUse(usage, want));
-        if (waiting === open && want.avoid.length === 0) this.full.add(key);
+        if (waiting === open && !avoidsAny(want)) this.full.add(key);
       }
       if (waiting <= 0) return;
       // Places come free all the time: a moment's wait often saves the work that a stop would lose.
@@ -220,6 +229,7 @@
     for (const c of cold) finish(c.ref, c.count);
     for (const [inst, g] of grants) this.o.send(inst, { k: 'grants', token: this.l.token, grants: g });
     this.gathering.endPass(wanted);
+    this.refusals.endPass(wanted);
     for (const job of this.unmet.keys()) if (!wanted.has(job)) this.unmet.delete(job);
     for (const job of this.nothing.keys()) if (!wanted.has(job)) this.nothing.delete(job);
     this.preemption.endPass(wanted);
@@ -267,23 +277,26 @@
   private seenFrom(want: Want, inside: boolean, now: number): Want {
     const since = this.nothing.get(want.job) ?? now;
     const starved = now - since > STARVED_MS;
-    const lingers = this.l.lingering.get(want.job);
-    if (!starved && !lingers && !(inside && want.patienceS)) return want;
-    const w = { ...want, starved };
+    // A worker that lists an ended attempt of a task refuses the next: places taken there came back again and again, each
+    // time at the cost of work stopped for it (seen in a seeded day: nothing ended any more).
+    const refusedBy = this.refusals.machinesFor(want);
+    if (!starved && !refusedBy && !(inside && want.patienceS)) return want;
+    const w: Want = { ...want, starved };
     // A guarantee is to be had at once, whatever the aim allows.
     if (inside && w.patienceS) w.patienceS = 0;
-    // A worker that refused an attempt for an earlier one refuses the next too: places taken there came back again and
-    // again, each time at the cost of work stopped for it (seen in a seeded day: nothing ended any more).
-    if (lingers) w.avoid = [...want.avoid, ...[...lingers].map((m) => m.name)];
-    // Nothing is left but where they linger: under a higher token they may go.
-    if (lingers && now - since > LINGER_MS && [...lingers].some((m) => this.wouldFit(m, want, now)))
-      this.o.raise(`ended attempts of ${want.job} stand in its way`);
+    if (refusedBy) w.refusedBy = refusedBy;
     return w;
   }
 
-  private wouldFit(m: Machine, w: Want, now: number): boolean {
-    const r = this.l.usable(m, now) ? this.l.roomOf(m, now) : null;
-    return r !== null && fits(r, w) && allowed(r, w);
+  /** Room for all tasks of a gang, or for none. Returns how many were left. */
+  private placeGang(rooms: Room[], want: Want, count: number, give: (room: Room) => void): number {
+    const chosen = this.refusals.chooseForGang(rooms, want, count, this.l.scarce);
+    if (!chosen) return count;
+    for (const room of chosen) {
+      take(room, want);
+      give(room);
+    }
+    return 0;
   }
 
   private grant(m: Machine, w: Want, now: number): Grant {
@@ -321,7 +334,16 @@
     const ids = this.l.holds.get(w.job);
     if (ids) ids.add(id);
     else this.l.holds.set(w.job, new Set([id]));
-    return { id, job: w.job, team: w.team, machine: m.name, zone: m.zone, season: m.season };
+    const endedTasks = m.endedTasks.get(w.job)?.tasks;
+    return {
+      id,
+      job: w.job,
+      team: w.team,
+      machine: m.name,
+      zone: m.zone,
+      season: m.season,
+      ...(endedTasks && { endedTasks: [...endedTasks] }),
+    };
   }
 
   /** Room that will be free once the tasks being stopped are gone. */
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,7 +1,7 @@
 import { bootingRooms } from './booting.js';
 import type { Ledger, SchedulerOptions } from './ledger.js';
 import { type Entry, type Machine, takesRoom } from './machine.js';
-import { allowed, emptyRoom, fits, shapeKey, take } from './room.js';
+import { allowed, avoids, avoidsAny, emptyRoom, fits, shapeKey, take } from './room.js';
 import type { Want } from './types.js';
 
 /** So long work waits before a gang of another team is stopped for its guarantee: all tasks of a gang stop with one. */
@@ -101,7 +101,7 @@
     const t = this.ledger.types.get(m.type);
     if (!t) return null;
     const r = emptyRoom(t, m.zone, m.spot, m.name);
-    if (!allowed(r, w) || w.avoid.includes(m.name)) return null;
+    if (!allowed(r, w) || avoids(w, m.name)) return null;
     const may: Entry[] = [];
     for (const e of m.entries.values()) {
       // Room that is being freed was promised before.
@@ -200,7 +200,7 @@
       while (at > 0 && offers[at - 1]!.cost < again.cost) at--;
       offers.splice(at, 0, again);
     }
-    if (picked < count && w.avoid.length === 0) this.hopeless.add(key);
+    if (picked < count && !avoidsAny(w)) this.hopeless.add(key);
     if (picked === 0) this.fruitless.set(w.job, now);
     this.ask(victims, `room for ${w.job}`);
     return picked;
--- a/src/core/room.ts
+++ b/src/core/room.ts
@@ -104,17 +104,27 @@
   return v;
 }
 
+/** Whether a want passes this machine over for reasons of its own. */
+export function avoids(w: Want, machine: string): boolean {
+  return w.avoid.includes(machine) || w.refusedBy?.has(machine) === true;
+}
+
+/** Whether a want passes any machine over for reasons of its own: what it finds says nothing of others of its kind. */
+export function avoidsAny(w: Want): boolean {
+  return w.avoid.length > 0 || w.refusedBy !== undefined;
+}
+
 /** Whether a task of this want may go here now. */
-function open(r: Room, w: Want, scarceZone: string | null): boolean {
+export function isOpen(r: Room, w: Want, scarceZone: string | null): boolean {
   if (!fits(r, w)) return false;
   if (r.reserved && r.reserved.job !== w.job && w.rank > 0) return false;
-  if (w.starved) return allowed(r, w) && !w.avoid.includes(r.name);
+  if (w.starved) return allowed(r, w) && !avoids(w, r.name);
   // The ordinary room of a zone that jobs which must be spread depend on is theirs; what can be stopped
   // for them may use it meanwhile.
   if (scarceZone === r.zone && !r.spot && w.service && !w.zoneRoom && w.zone === null) return false;
   // Work that has time and may use cheap machines lets it run empty, to be returned.
   if (r.surplus && w.spot && !w.service && (w.patienceS ?? 0) > 0) return false;
-  return allowed(r, w) && !w.avoid.includes(r.name);
+  return allowed(r, w) && !avoids(w, r.name);
 }
 
 export function best(
@@ -126,7 +136,7 @@
   let found: Room | null = null;
   let rank = Number.POSITIVE_INFINITY;
   for (const r of rooms) {
-    if (!open(r, w, scarceZone) || full?.(r)) continue;
+    if (!isOpen(r, w, scarceZone) || full?.(r)) continue;
     const v = rankRoom(r, w, scarceZone);
     if (v < rank) {
       rank = v;
@@ -172,7 +182,7 @@
     }
     const ranked: { r: Room; rank: number }[] = [];
     for (const r of rooms)
-      if (open(r, v, scarceZone) && (here.get(r) ?? 0) < most)
+      if (isOpen(r, v, scarceZone) && (here.get(r) ?? 0) < most)
         ranked.push({ r, rank: rankRoom(r, w, scarceZone) });
     ranked.sort((x, y) => x.rank - y.rank);
     for (const { r } of ranked) {
@@ -183,7 +193,7 @@
   return left;
 }
 
-/** A gang takes all its places or none; with one zone demanded, each zone is tried in turn. */
+/** A gang takes all its places or none. */
 function fillWhole(
   rooms: Room[],
   w: Want,
@@ -191,7 +201,18 @@
   scarceZone: string | null,
   each: (r: Room) => void,
 ): number {
-  const usable = rooms.filter((r) => open(r, w, scarceZone));
+  const chosen = chooseWhole(rooms, w, count, scarceZone);
+  if (!chosen) return count;
+  for (const r of chosen) {
+    take(r, w);
+    each(r);
+  }
+  return 0;
+}
+
+/** The rooms for all tasks of a gang, one a task, or null; with one zone demanded, each zone is tried in turn. */
+export function chooseWhole(rooms: Room[], w: Want, count: number, scarceZone: string | null): Room[] | null {
+  const usable = rooms.filter((r) => isOpen(r, w, scarceZone));
   const zones = w.together && w.zone === null ? [...new Set(usable.map((r) => r.zone))] : [w.zone];
   for (const zone of zones) {
     const here = usable.filter((r) => zone === null || r.zone === zone);
@@ -202,14 +223,9 @@
     const left = fill([...copies.keys()], { ...w, whole: false, zone }, count, scarceZone, (copy) =>
       chosen.push(copies.get(copy)!),
     );
-    if (left > 0) continue;
-    for (const r of chosen) {
-      take(r, w);
-      each(r);
-    }
-    return 0;
+    if (left === 0) return chosen;
   }
-  return count;
+  return null;
 }
 
 export function emptyRoom(t: MachineType, zone: string, spot: boolean, name: string): Room {
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1,7 +1,7 @@
 import { FailureDetector } from './failure-detector.js';
 import { Fleet } from './fleet.js';
 import { Ledger, type SchedulerOptions } from './ledger.js';
-import { type Entry, isNewer, lingering, type Machine, newEntry } from './machine.js';
+import { type Entry, isNewer, type Machine, newEntry } from './machine.js';
 import { Placing } from './placing.js';
 import type { Policy } from './policy.js';
 import type {
@@ -347,7 +347,7 @@
     }
     this.l.touch(m);
     m.tasks.clear();
-    this.l.setLingers(m, lingering(r.tasks));
+    this.l.endedAttempts.update(m, r.tasks);
     for (const t of r.tasks) m.tasks.set(taskKey(t.job, t.idx, t.attempt), t);
     for (const e of [...m.entries.values()]) {
       if (e.want === 'hold') {
@@ -515,7 +515,8 @@
       }
     }
     // Each change of a machine's tasks makes it report once more: ended ones are removed together, or with something else.
-    if (out.length > 0 || reaps.length >= REAPS_TOGETHER || now - since > REAP_MS) out.push(...reaps);
+    const atOnce = this.l.blocking.has(m.name) || now - since > REAP_MS;
+    if (out.length > 0 || reaps.length >= REAPS_TOGETHER || atOnce) out.push(...reaps);
     if (m.strangers.size > 0) {
       const synced = this.l.allSynced();
       const entitled = this.o.entitled();
@@ -698,7 +699,7 @@
       this.l.removeEntry(m, e);
     }
     this.l.machines.delete(name);
-    this.l.setLingers(m, lingering([]));
+    this.l.endedAttempts.update(m, []);
     this.l.touch(m);
     this.l.capacity.freed(m);
   }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -123,6 +123,13 @@
   zoneCap: number;
   /** Machines on which this job failed lately. */
   avoid: string[];
+  /**
+   * The tasks still to be placed, where they are few and one of them has had an attempt: a machine that lists ended
+   * attempts of all of them is of no use. Null: many, or none that any machine could list; a gang places all its tasks.
+   */
+  tasksLeft?: number[] | null;
+  /** Machines that would refuse each task still to be placed: the scheduler's reckoning. */
+  refusedBy?: ReadonlySet<string>;
   near: string;
   /** So long it may still wait for places without putting its aim at risk: the scheduler's reckoning; null: it has none. */
   patienceS: number | null;
@@ -173,6 +180,8 @@
   machine: string;
   zone: string;
   season: number;
+  /** Tasks of the job of which the machine lists an ended attempt: it would refuse another one. Absent: none. */
+  endedTasks?: number[];
 }
 
 /** Owner to scheduler. `gens` names the version of each team record the sender acts under. */
