Stand-in of the worker: what is done exits as soon as it has its image, and attempts started again are counted

A worker told to start a task again that is done "exits with `done` as soon as it has its image" (protocol, "why"). The stand-in let it run for 1 ms instead, and a gang's wait for its mates: time on the machine that the protocol does not give it, in which the check of quota counted it.

--- a/test/standin/worker.ts
+++ b/test/standin/worker.ts
@@ -25,6 +25,8 @@
   gangMates(job: string, attempt: number): Task[];
   /** A running task of a gang was told to stop. */
   gangTold(task: Task): void;
+  /** An attempt was started. */
+  started(job: string, idx: number, attempt: number): void;
   /** A start was refused. */
   refused(job: string, machine: string, why: 'busy' | 'no_room'): void;
   isDone(job: string, idx: number): boolean;
@@ -215,10 +217,13 @@
     this.tasks.push(t);
     this.changed = true;
     if (t.phase === 'exited' || !s) return;
+    this.w.started(job, idx, attempt);
     const fetch = this.images.has(s.image) ? 1 : (s.imageGb / this.size.fetchGbPerS) * 1000;
     this.later(t, fetch, () => {
       this.images.add(s.image);
-      if (s.shape === 'gang') {
+      // "If the task is started again, it exits with `done` as soon as it has its image."
+      if (this.w.isDone(job, idx)) this.exit(t, 'done');
+      else if (s.shape === 'gang') {
         t.phase = 'waiting';
         this.gang(t, s);
       } else this.begin(t);
@@ -239,7 +244,7 @@
     t.phase = 'running';
     this.changed = true;
     if (this.w.fails(t.job, this.name)) return this.later(t, 300, () => this.exit(t, 'error'));
-    const ms = this.w.isDone(t.job, t.idx) ? 1 : this.w.runMs(t.job, t.idx);
+    const ms = this.w.runMs(t.job, t.idx);
     if (Number.isFinite(ms))
       this.later(t, ms, () => {
         if (t.phase !== 'running') return;
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -12,6 +12,7 @@
   Then,
   WorkerReport,
 } from '../../src/core/types.js';
+import { taskKey } from '../../src/core/types.js';
 import { checkPolicy } from '../../src/settings/policy.js';
 import { Admission } from './admission.js';
 import { statePort, workerPort } from './ports.js';
@@ -101,6 +102,9 @@
   starts = 0;
   /** Starts that workers refused: another attempt of the task is listed, or there is no room. */
   readonly refusals = { busy: 0, no_room: 0 };
+  /** Attempts that were started once more: one that ended must never be. */
+  readonly startedAgain: string[] = [];
+  private readonly attemptsStarted = new Set<string>();
   readonly service: ServiceLevel;
   readonly admission: Admission;
   private machines = 0;
@@ -325,6 +329,13 @@
           .filter((x) => x.alive && !x.hung)
           .flatMap((x) => x.tasks.filter((t) => t.job === job && t.attempt === attempt)),
       gangTold: (task: Task) => this.gangTold(task),
+      started: (job: string, idx: number, attempt: number) => {
+        const key = taskKey(job, idx, attempt);
+        // What is done may be removed before a late repeat of its start comes: it ends at once (Scheduler.mayReap).
+        if (this.attemptsStarted.has(key) && !this.done.has(`${job}/${idx}`))
+          this.startedAgain.push(`${(this.sim.now / 1000).toFixed(3)} ${key}`);
+        this.attemptsStarted.add(key);
+      },
       refused: (_job: string, _machine: string, why: 'busy' | 'no_room') => void this.refusals[why]++,
       isDone: (job: string, idx: number) => this.done.has(`${job}/${idx}`),
       setDone: (job: string, idx: number) => {
