Placements in flight or in doubt keep their places at a full telling

Change: such placements are told as `pending`: they take room, nothing is started for them and nothing is told of them; the answer to a full telling names it. A grant's number is void under another leader, and frees a promise of its own job only.

Ruled out: keeping the promises across a telling (the leader can't tell which of them the owner has dropped).

--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -2,7 +2,7 @@
 import { EndedAttempts } from './ended-attempts.js';
 import { type Cover, coversMachine, Horizons, windowMs } from './horizon.js';
 import type { ImageFacts } from './images.js';
-import { type Entry, emptySum, type Machine, newMachine, provenAt, sumUp } from './machine.js';
+import { type Entry, emptySum, isUnstored, type Machine, newMachine, provenAt, sumUp } from './machine.js';
 import type { Policy, PolicyInput } from './policy.js';
 import { emptyRoom, type Room } from './room.js';
 import type {
@@ -262,7 +262,7 @@
     }
     if (m.strangers.size > 0 && this.strange(m)) return now - this.least(now) <= this.window;
     const teams = new Set<string>();
-    for (const e of m.entries.values()) if (e.want !== 'reap' && e.want !== 'hold') teams.add(e.team);
+    for (const e of m.entries.values()) if (e.want !== 'reap' && !isUnstored(e)) teams.add(e.team);
     for (const t of teams) if (!this.covered(t, now)) return false;
     if (teams.size > 0) return true;
     for (const t of this.o.teams.keys()) if (this.covered(t, now)) return true;
--- a/src/core/machine.ts
+++ b/src/core/machine.ts
@@ -204,6 +204,11 @@
   };
 }
 
+/** Room promised or asked for, without a stored placement: its worker has never been told of it. */
+export function isUnstored(e: Entry): boolean {
+  return e.want === 'hold' || e.want === 'pending';
+}
+
 export function newEntry(h: Held, now: number): Entry {
   return {
     ...h,
--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -183,6 +183,8 @@
     this.marks.clear();
     this.coveredTold = Number.NEGATIVE_INFINITY;
     this.lastGrant = 0;
+    // Numbers of the last leader's grants: the next one counts anew.
+    for (const job of this.jobs.values()) for (const placement of job.placed.values()) placement.grant = 0;
     this.synced = false;
     this.needSync = true;
     this.options.wake();
@@ -345,7 +347,9 @@
     this.options.log.debug({ job: job.spec.id, placed: job.placed.size }, 'cancelled');
     for (const placement of [...job.placed.values()]) {
       if (!placement.stored && !isInDoubt(job)) {
+        const key = taskKey(job.spec.id, placement.idx, placement.attempt);
         this.outDrop.grants.push(placement.grant);
+        this.outDrop.tasks.push({ machine: placement.machine, key });
         this.dropPlaced(job, placement, 'returned');
       } else this.stop(job, placement, 0);
     }
@@ -360,6 +364,9 @@
     if (message.token !== this.token) return;
     switch (message.k) {
       case 'synced':
+        // With another telling on its way, grants sent before that one is taken in are dropped by the leader and must be here:
+        // their places are granted again.
+        if (message.sync !== undefined && message.sync !== this.syncs) return;
         this.synced = true;
         this.wantsDirty = true;
         this.lastWants = '';
@@ -631,8 +638,9 @@
       this.dropNew();
       const held: Held[] = [];
       for (const job of this.jobs.values()) {
+        // Without its places in flight or in doubt the leader would give them to others.
         for (const placement of job.placed.values())
-          if (placement.stored) held.push(heldOf(job, placement, placement.want));
+          held.push(heldOf(job, placement, placement.stored ? placement.want : 'pending'));
         for (const reap of job.toReap) {
           // Settled but not yet stored so: still ours, or the scheduler would reap what nobody claims.
           if (reap.listed) held.push(heldOf(job, reap.placement, 'keep'));
--- a/src/core/scheduler.ts
+++ b/src/core/scheduler.ts
@@ -1,7 +1,7 @@
 import { FailureDetector } from './failure-detector.js';
 import { Fleet } from './fleet.js';
 import { Ledger, type SchedulerOptions } from './ledger.js';
-import { type Entry, isNewer, type Machine, newEntry } from './machine.js';
+import { type Entry, isNewer, isUnstored, type Machine, newEntry } from './machine.js';
 import { Placing } from './placing.js';
 import type { Policy } from './policy.js';
 import type {
@@ -97,7 +97,7 @@
         const all = this.assemble(m.inst, m);
         if (!all) return;
         this.l.horizons.synced(m.inst, m.sync);
-        this.sync(m.inst, m.gens, all);
+        this.sync(m.inst, m.sync, m.gens, all);
         this.placing.setWants(m.inst, m.wants);
         break;
       }
@@ -165,7 +165,7 @@
     return this.l.cover();
   }
 
-  private sync(inst: string, gens: Record<string, number>, held: Held[]): void {
+  private sync(inst: string, sync: number, gens: Record<string, number>, held: Held[]): void {
     const teams = new Set<string>();
     for (const [team, gen] of Object.entries(gens)) {
       const r = this.l.owners.get(team);
@@ -184,7 +184,7 @@
       const e = this.hold(h);
       if (e) e.told = '';
     }
-    this.o.send(inst, { k: 'synced', token: this.l.token });
+    this.o.send(inst, { k: 'synced', token: this.l.token, sync });
     this.o.send(inst, { k: 'mark', token: this.l.token, at: this.o.clock.now() });
     for (const m of this.l.machines.values())
       for (const e of m.entries.values()) if (teams.has(e.team)) this.tell(m, e);
@@ -201,7 +201,7 @@
     this.l.touch(m);
     if (h.grant > 0) {
       const g = m.entries.get(`grant#${h.grant}`);
-      if (g) this.l.removeEntry(m, g);
+      if (g?.job === h.job) this.l.removeEntry(m, g);
     }
     let e = m.entries.get(key);
     if (!e) {
@@ -233,7 +233,8 @@
     for (const t of tasks) {
       const m = this.l.machines.get(t.machine);
       const e = m?.entries.get(t.key);
-      if (m && e && this.l.heeds(inst, e.team) && e.settled) this.l.removeEntry(m, e);
+      if (m && e && this.l.heeds(inst, e.team) && (e.settled || e.want === 'pending'))
+        this.l.removeEntry(m, e);
     }
     // A grant its owner can't use is not offered again at once.
     const until = this.o.clock.now() + 300;
@@ -253,7 +254,7 @@
   }
 
   private tell(m: Machine, e: Entry): void {
-    if (e.want === 'hold') return;
+    if (isUnstored(e)) return;
     const text = e.settled ? 'settled' : e.listed ? `${e.listed.phase}/${e.listed.why ?? ''}` : '';
     if (text === '' || text === e.told || !this.l.isSynced(e.team)) return;
     e.told = text;
@@ -694,7 +695,7 @@
     const m = this.l.machines.get(name);
     if (!m) return;
     for (const e of [...m.entries.values()]) {
-      if (e.want !== 'hold' && e.want !== 'reap')
+      if (!isUnstored(e) && e.want !== 'reap')
         this.say(e.team, { s: 'settled', job: e.job, idx: e.idx, attempt: e.attempt, machine: name });
       this.l.removeEntry(m, e);
     }
--- a/src/core/types.ts
+++ b/src/core/types.ts
@@ -147,8 +147,11 @@
   attempt: number;
   machine: string;
   season: number;
-  /** `keep`: ended, its outcome is being stored. */
-  want: 'run' | 'stop' | 'keep' | 'reap';
+  /**
+   * `keep`: ended, its outcome is being stored. `pending`: its write is in flight or in doubt; it keeps its room, and nothing
+   * is started for it.
+   */
+  want: 'run' | 'stop' | 'keep' | 'reap' | 'pending';
   graceS: number;
   team: string;
   rank: Rank;
@@ -227,7 +230,8 @@
   | { s: 'settled'; job: string; idx: number; attempt: number; machine: string };
 
 export type SchedulerMsg =
-  | { k: 'synced'; token: number }
+  /** The full telling of this number has been taken in. Without it (from a leader of an earlier version): the last one. */
+  | { k: 'synced'; token: number; sync?: number }
   | { k: 'resync'; token: number }
   | { k: 'grants'; token: number; grants: Grant[] }
   /** A time on the leader's clock. */
