Ended attempts stay claimed while their outcome is in flight or in doubt

Cause: a transaction takes the outcomes it stores out of the job's list at once, so a full telling meanwhile left them out; the leader had what nobody claims removed, and after a read that did not find the transaction it was told the attempt as one to run. What was stopped or failed after a direct start was safe, since such attempts stay listed until a higher token; what was done was removed.

Change: outcomes in flight are told like those not yet sent, until the transaction is known to be carried out or not, or the job has been read again. Looked for elsewhere: the final record keeps its list until it is stored.

--- a/src/core/owner/job-writes.ts
+++ b/src/core/owner/job-writes.ts
@@ -66,6 +66,7 @@
     chunks.includes(Math.floor(idx / chunkSize)) || (withCounter && job.count.has(idx));
   const settled = job.toReap.filter(isWritten);
   job.toReap = job.toReap.filter((reap) => !isWritten(reap));
+  job.outcomesInFlight = settled;
   const running = job.shownRunning;
   job.dirtyCount = false;
   return {
@@ -82,9 +83,11 @@
         job.attempts.set(placement.idx, placement.attempt);
         if (job.placed.get(placement.idx) === placement) events.placementStored(job, placement);
       }
+      job.outcomesInFlight = [];
       for (const reap of settled) events.outcomeStored(job, reap);
     },
     undone: () => {
+      job.outcomesInFlight = [];
       job.dirtyCount ||= withCounter;
       for (const chunk of chunks) job.dirtyChunks.add(chunk);
       job.toReap.push(...settled);
--- a/src/core/owner/job.ts
+++ b/src/core/owner/job.ts
@@ -54,6 +54,8 @@
   shownRunning: number;
   storedRunning: number;
   toReap: SettledPlacement[];
+  /** Those whose outcome is in the transaction now in flight, or in doubt. */
+  outcomesInFlight: SettledPlacement[];
 }
 
 /**
@@ -89,6 +91,7 @@
     shownRunning: 0,
     storedRunning: stored.running,
     toReap: [],
+    outcomesInFlight: [],
   };
 }
 
--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -641,8 +641,9 @@
         // Without its places in flight or in doubt the leader would give them to others.
         for (const placement of job.placed.values())
           held.push(heldOf(job, placement, placement.stored ? placement.want : 'pending'));
-        for (const reap of job.toReap) {
-          // Settled but not yet stored so: still ours, or the scheduler would reap what nobody claims.
+        // Settled but not yet stored so: still ours, or the scheduler would have what nobody claims removed. A write that turns
+        // out not to have been carried out would then bring the attempt back as one to be started.
+        for (const reap of [...job.toReap, ...job.outcomesInFlight]) {
           if (reap.listed) held.push(heldOf(job, reap.placement, 'keep'));
         }
       }
