Work is stopped for a claim only where placing would let it in

`isOpen`, asked by placing, keeps other services out of it; `Preemption.offer` asked `allowed` only.

Change: one predicate for both. A reservation that runs out unused is logged (`freed room not used`, bounded). Looked for elsewhere: room promised by stops under way and gathered by gangs, and rentals, ask `isOpen` already.

--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -338,13 +338,18 @@
     r.images = m.images;
     if (m.reserved && m.reserved.until > now) r.reserved = m.reserved;
     r.penalty = (now - provenAt(m) > this.quietMs() ? 10 : 0) + (m.errors.size > 0 ? 20 : 0);
-    r.surplus = !m.spot && m.sum.services === 0 && !this.spare.has(m.name) && now > this.shortUntil;
+    r.surplus = this.isSurplus(m, now);
     r.cpus = m.sum.free.cpus;
     r.gpus = m.sum.free.gpus;
     r.mem = m.sum.free.mem;
     return r;
   }
 
+  /** See `Room.surplus`. */
+  isSurplus(m: Machine, now: number): boolean {
+    return !m.spot && m.sum.services === 0 && !this.spare.has(m.name) && now > this.shortUntil;
+  }
+
   /** Free room of the machines that have any. */
   rooms(now: number): Room[] {
     this.refresh();
--- a/src/core/placing.ts
+++ b/src/core/placing.ts
@@ -1,6 +1,7 @@
 import { AIM_MARGIN } from './autoscale.js';
 import { GangGathering } from './gang-gathering.js';
 import type { Ledger, SchedulerOptions, WantRef } from './ledger.js';
+import { LimitedLog } from './limited-log.js';
 import { type Machine, newEntry, provenAt } from './machine.js';
 import { addUse, Preemption, type Usage } from './preemption.js';
 import { Refusals } from './refusals.js';
@@ -39,11 +40,13 @@
   private readonly preemption: Preemption;
   private readonly gathering: GangGathering;
   private readonly refusals: Refusals;
+  private readonly log: LimitedLog;
 
   constructor(
     private readonly o: SchedulerOptions,
     private readonly l: Ledger,
   ) {
+    this.log = new LimitedLog(o.log, o.clock);
     this.gathering = new GangGathering(l);
     this.refusals = new Refusals(l, (why) => o.raise(why));
     this.preemption = new Preemption(o, l, (job) => this.unmet.get(job));
@@ -233,11 +236,7 @@
     for (const job of this.unmet.keys()) if (!wanted.has(job)) this.unmet.delete(job);
     for (const job of this.nothing.keys()) if (!wanted.has(job)) this.nothing.delete(job);
     this.preemption.endPass(wanted);
-    for (const m of this.l.reserved)
-      if (!m.reserved || !wanted.has(m.reserved.job)) {
-        m.reserved = null;
-        this.l.reserved.delete(m);
-      }
+    this.endReservations(wanted, now);
     return left;
   }
 
@@ -261,6 +260,18 @@
     return waiting > 0 ? [{ want: task, count: waiting }] : [];
   }
 
+  /** Room that was freed for a job is kept no longer once the job has what it wants, or the time for it is over. */
+  private endReservations(wanted: ReadonlySet<string>, now: number): void {
+    for (const m of this.l.reserved) {
+      const { reserved } = m;
+      if (reserved && wanted.has(reserved.job) && reserved.until > now) continue;
+      if (reserved && wanted.has(reserved.job))
+        this.log.info({ machine: m.name, job: reserved.job }, 'freed room not used');
+      m.reserved = null;
+      this.l.reserved.delete(m);
+    }
+  }
+
   /** How much of a want is open: what its owner has taken in of the grants is no longer wanted by it. */
   private openCount(want: Want, now: number): number {
     let count = want.count;
--- a/src/core/preemption.ts
+++ b/src/core/preemption.ts
@@ -1,7 +1,7 @@
 import { bootingRooms } from './booting.js';
 import type { Ledger, SchedulerOptions } from './ledger.js';
 import { type Entry, type Machine, takesRoom } from './machine.js';
-import { allowed, avoids, avoidsAny, emptyRoom, fits, shapeKey, take } from './room.js';
+import { avoidsAny, emptyRoom, fits, isOpen, shapeKey, take } from './room.js';
 import type { Want } from './types.js';
 
 /** So long work waits before a gang of another team is stopped for its guarantee: all tasks of a gang stop with one. */
@@ -101,7 +101,9 @@
     const t = this.ledger.types.get(m.type);
     if (!t) return null;
     const r = emptyRoom(t, m.zone, m.spot, m.name);
-    if (!allowed(r, w) || avoids(w, m.name)) return null;
+    r.surplus = this.ledger.isSurplus(m, now);
+    // By the same question as placing: tasks were stopped every 5 s for services that then were not let in (inc-1fa0).
+    if (!isOpen(r, w, this.ledger.scarce)) return null;
     const may: Entry[] = [];
     for (const e of m.entries.values()) {
       // Room that is being freed was promised before.
