--- a/src/core/owner/owner.ts
+++ b/src/core/owner/owner.ts
@@ -1,7 +1,6 @@
 import { Marks } from '../horizon.js';
 import { LimitedLog } from '../limited-log.js';
 import { chunkSize, readJob, releaseWindow, type StoredJob } from '../records.js';
-import { assignTasks } from '../task-assignment.js';
 import {
   type Clock,
   type Grant,
@@ -16,6 +15,7 @@
   taskKey,
   type Want,
 } from '../types.js';
+import { AVOID_AFTER_REFUSAL_MS, takeGrants } from './grant-intake.js';
 import {
   gangAttempt,
   heldOf,
@@ -25,13 +25,12 @@
   type OwnedJob,
   type Placement,
   type SettledPlacement,
-  zoneAllows,
 } from './job.js';
 import { JobTransactions } from './job-transactions.js';
 import type { WriteEvents } from './job-writes.js';
 import { ReleaseOrder } from './release-order.js';
 import { readStoredJobs } from './stored-jobs.js';
-import { TeamUsage, tasksWithin, type UsageCause } from './team-usage.js';
+import { TeamUsage, type UsageCause } from './team-usage.js';
 import { UsageLog } from './usage-log.js';
 import { listWants } from './wants.js';
 import { WriteFence } from './write-fence.js';
@@ -62,9 +61,6 @@
 /** Pause before a read that failed is repeated. */
 const RETRY_MS = 300;
 
-/** So long a machine gets none of a job's tasks after it has refused one, or would have. */
-const AVOID_AFTER_REFUSAL_MS = 2000;
-
 /** Most placements told in one message. */
 const SYNC_PART = 400;
 
@@ -402,75 +398,14 @@
     for (const [id, offered] of byJob) {
       const job = this.jobs.get(id);
       const ok = job && !job.cancelled && !job.reloading && !job.count.full && this.synced;
-      const placed = new Set(ok ? this.takePlaces(job, offered) : []);
+      const place = (grant: Grant, idx: number) => job && this.place(job, grant, idx);
+      const now = this.options.clock.now();
+      const placed = new Set(ok ? takeGrants(job, offered, this.usage, now, place) : []);
       for (const grant of offered) if (!placed.has(grant)) this.outDrop.grants.push(grant.id);
     }
     this.wantsDirty = true;
   }
 
-  /**
-   * Places for a gang are taken all or none: one with a part of its tasks placed would hold them until it gives up
-   * waiting for the others (seen on bhuj-relief-works: 1 of 12 placed at a team's limit, ended after `gang_wait_s`).
-   */
-  private admitsGang(job: OwnedJob, grants: Grant[]): boolean {
-    const { spec } = job;
-    if (grants.length !== spec.tasks || job.placed.size > 0) return false;
-    const left = this.usage.remaining(spec.team);
-    if (left === null || tasksWithin(left, spec) < spec.tasks) return false;
-    const byZone = new Map<string, number>();
-    for (const { zone } of grants) byZone.set(zone, (byZone.get(zone) ?? 0) + 1);
-    if (spec.zone !== null && [...byZone.keys()].some((zone) => zone !== spec.zone)) return false;
-    if (spec.apart && Math.max(...byZone.values()) > Math.ceil(spec.tasks / 2)) return false;
-    return !spec.together || byZone.size === 1;
-  }
-
-  /** Places tasks of a job on what it is offered. Returns the grants taken. */
-  private takePlaces(job: OwnedJob, grants: Grant[]): Grant[] {
-    return job.spec.shape === 'gang' ? this.placeGang(job, grants) : this.placeEach(job, grants);
-  }
-
-  /** Takes all of these places for a gang, or none. Returns those taken. */
-  private placeGang(job: OwnedJob, grants: Grant[]): Grant[] {
-    if (!this.admitsGang(job, grants)) return [];
-    const { tasks } = assignTasks(
-      Array.from({ length: job.spec.tasks }, (_, idx) => idx),
-      grants.map((grant) => grant.endedTasks && new Set(grant.endedTasks)),
-    );
-    // A machine that lists an ended attempt of its task would refuse it, and all others would be stopped.
-    if (tasks.includes(undefined)) return [];
-    grants.forEach((grant, place) => this.place(job, grant, tasks[place]!));
-    return grants;
-  }
-
-  /** Takes those of these places that the tasks of an array or service may use. */
-  private placeEach(job: OwnedJob, grants: Grant[]): Grant[] {
-    return grants.filter((grant) => {
-      if (!this.usage.admits(job.spec) || !zoneAllows(job, grant.zone)) return false;
-      const idx = this.nextTask(job, grant);
-      if (idx < 0) return false;
-      this.place(job, grant, idx);
-      return true;
-    });
-  }
-
-  /** The next task to be placed, other than those of which the machine lists an ended attempt; -1: none. */
-  private nextTask(job: OwnedJob, { machine, endedTasks }: Grant): number {
-    const refused: number[] = [];
-    let idx = -1;
-    for (;;) {
-      idx = job.fan.take(
-        (i) => job.count.has(i) || job.placed.has(i),
-        (i) => job.count.has(i),
-      );
-      if (idx < 0 || !endedTasks?.includes(idx)) break;
-      refused.push(idx);
-    }
-    for (const task of refused) job.fan.giveBack(task);
-    if (idx < 0 && refused.length > 0)
-      job.avoid.set(machine, this.options.clock.now() + AVOID_AFTER_REFUSAL_MS);
-    return idx;
-  }
-
   private place(job: OwnedJob, grant: Grant, idx: number): void {
     const attempt = job.spec.shape === 'gang' ? gangAttempt(job) : (job.attempts.get(idx) ?? 0) + 1;
     this.putPlaced(
