Tests of refusals: matching, index, choices of the leader, tasks taken by the owner, odd lists, work at 4,000 machines

The matching against all ways of matching (500 drawn cases); a pass with 200 jobs at 4,000 machines looks at the two machines that list each job.

--- /dev/null
+++ b/test/refusals.test.ts
@@ -0,0 +1,270 @@
+import fc from 'fast-check';
+import { expect, test, vi } from 'vitest';
+import { EndedAttempts } from '../src/core/ended-attempts.js';
+import { newMachine } from '../src/core/machine.js';
+import { takeGrants } from '../src/core/owner/grant-intake.js';
+import { newJob, type OwnedJob } from '../src/core/owner/job.js';
+import { TeamUsage } from '../src/core/owner/team-usage.js';
+import { Refusals } from '../src/core/refusals.js';
+import { assignTasks } from '../src/core/task-assignment.js';
+import type { Grant, JobSpec, TaskReport, WorkerReport } from '../src/core/types.js';
+import { job } from './standin/day.js';
+import { makeWant, scheduler } from './standin/scheduler.js';
+import { World } from './standin/world.js';
+
+// Which machines would refuse which tasks, and what is placed where; the story is told in gang-attempts.test.ts.
+
+const ended = (id: string, idx: number, over: Partial<TaskReport> = {}): TaskReport => ({
+  job: id,
+  idx,
+  attempt: 1,
+  phase: 'exited',
+  why: 'stopped',
+  saved: false,
+  ...over,
+});
+const machineNames = (index: EndedAttempts, id: string) => [...index.machinesOf(id)].map(({ name }) => name);
+const isGranted = (t: ReturnType<typeof scheduler>, id: string) =>
+  t.grants().filter((job) => job === id).length;
+
+// ---- matching ----------------------------------------------------------------------------------------
+
+/** Whether places can be matched to tasks one by one, by trying all ways. */
+function canMatch(refused: Set<number>[], tasks: number[]): boolean {
+  const [first, ...rest] = refused;
+  if (!first) return true;
+  return tasks.some(
+    (task) =>
+      !first.has(task) &&
+      canMatch(
+        rest,
+        tasks.filter((other) => other !== task),
+      ),
+  );
+}
+
+test('tasks are matched to places wherever any way of matching them exists', () => {
+  const cases = fc.integer({ min: 1, max: 6 }).chain((count) =>
+    fc.array(fc.uniqueArray(fc.integer({ min: 0, max: count - 1 })), {
+      minLength: count,
+      maxLength: count,
+    }),
+  );
+  fc.assert(
+    fc.property(cases, (lists) => {
+      const refused = lists.map((list) => new Set(list));
+      const tasks = lists.map((_, task) => task);
+      const { tasks: given, without } = assignTasks(tasks, refused);
+      const taken = given.filter((task) => task !== undefined);
+      expect(new Set(taken).size).toBe(taken.length);
+      given.forEach((task, place) => task !== undefined && expect(refused[place]!.has(task)).toBe(false));
+      expect(without.length === 0).toBe(canMatch(refused, tasks));
+    }),
+    { seed: 7, numRuns: 500 },
+  );
+});
+
+// ---- index -------------------------------------------------------------------------------------------
+
+test('the index follows each list of a machine, and leaves out what runs or is done', () => {
+  const index = new EndedAttempts();
+  const machine = newMachine('m', 0);
+  index.update(machine, [
+    ended('wk-1', 0),
+    ended('wk-1', 3, { why: 'busy' }),
+    ended('wk-2', 0, { phase: 'running', why: null }),
+    ended('wk-3', 0, { why: 'done' }),
+  ]);
+  expect(machineNames(index, 'wk-1')).toEqual(['m']);
+  expect(machine.endedTasks.get('wk-1')).toEqual({ tasks: new Set([0, 3]), refused: true });
+  expect([index.has('wk-2'), index.has('wk-3')]).toEqual([false, false]);
+  index.update(machine, [ended('wk-2', 0)]);
+  expect([index.has('wk-1'), index.has('wk-2')]).toEqual([false, true]);
+  index.update(machine, []);
+  expect(index.has('wk-2')).toBe(false);
+});
+
+// ---- the leader --------------------------------------------------------------------------------------
+
+const gang = (over: object = {}) =>
+  makeWant('wk-gang', { whole: true, spot: false, cpus: 4, mem: 1, count: 2, ...over });
+
+function fleet(lists: Record<string, TaskReport[]>): { t: ReturnType<typeof scheduler>; second: () => void } {
+  const t = scheduler(5, { idle_s: 1e6 });
+  const second = () => {
+    for (const [machine, tasks] of Object.entries(lists)) t.report(tasks, 5, { machine, addr: machine });
+    t.later(1000);
+    t.k.flush();
+  };
+  second();
+  return { t, second };
+}
+
+test('a gang begins on machines that list its ended attempts if its tasks can be given out otherwise', () => {
+  const { t, second } = fleet({ a: [ended('wk-gang', 0)], b: [ended('wk-gang', 1)] });
+  t.wants([gang()]);
+  second();
+  expect(isGranted(t, 'wk-gang')).toBe(2);
+  expect(t.raised).toEqual([]);
+});
+
+test('a machine is passed over for a gang if no task can be given to it, and others are chosen', () => {
+  // Whatever a and b get, task 0 is left; c takes it.
+  const { t, second } = fleet({ a: [ended('wk-gang', 0)], b: [ended('wk-gang', 0)], c: [] });
+  t.wants([gang()]);
+  second();
+  expect(isGranted(t, 'wk-gang')).toBe(2);
+  const machines = t.said.flatMap((m) => (m.k === 'grants' ? m.grants.map((grant) => grant.machine) : []));
+  expect(machines).toContain('c');
+});
+
+test('a higher token is asked for only if the gang would begin but for ended attempts, and after 15 s of that', () => {
+  const blocked = { a: [ended('wk-gang', 0)], b: [ended('wk-gang', 0)] };
+  const alone = fleet(blocked);
+  alone.t.wants([gang()]);
+  for (let i = 0; i < 14; i++) alone.second();
+  expect([isGranted(alone.t, 'wk-gang'), alone.t.raised.length]).toEqual([0, 0]);
+  for (let i = 0; i < 4; i++) alone.second();
+  expect(alone.t.raised[0]).toContain('ended attempts of wk-gang');
+  // A third task has no machine at all: no token would help.
+  const short = fleet(blocked);
+  short.t.wants([gang({ count: 3 })]);
+  for (let i = 0; i < 20; i++) short.second();
+  expect(short.t.raised).toEqual([]);
+});
+
+test('an array or service passes a machine over that lists all tasks it has left, and no other', () => {
+  for (const service of [false, true]) {
+    const over = { cpus: 4, spot: false, service };
+    const { t, second } = fleet({ a: [ended('wk-1', 0), ended('wk-1', 2)] });
+    t.wants([makeWant('wk-1', { ...over, count: 1, tasksLeft: [0] })]);
+    second();
+    expect(isGranted(t, 'wk-1')).toBe(0);
+    t.wants([makeWant('wk-1', { ...over, count: 2, tasksLeft: [0, 1] })]);
+    second();
+    expect(isGranted(t, 'wk-1')).toBe(1);
+    const [grant] = t.said.flatMap((m) => (m.k === 'grants' ? m.grants : []));
+    expect(grant?.endedTasks).toEqual([0, 2]);
+  }
+});
+
+test('ended attempts that alone keep work waiting are removed at once, others together or after 20 s', () => {
+  const lists = { a: [ended('wk-1', 0)] };
+  const { t, second } = fleet(lists);
+  const reaps = () => {
+    const answer = t.report(lists.a, 5, { machine: 'a', addr: 'a' }) ?? [];
+    return answer.filter((command) => command.op === 'reap').length;
+  };
+  t.hold({ ...t.held('reap'), job: 'wk-1', machine: 'a' });
+  second();
+  expect(reaps()).toBe(0);
+  t.wants([makeWant('wk-1', { cpus: 4, spot: false, tasksLeft: [0] })]);
+  second();
+  expect(reaps()).toBe(1);
+});
+
+test('a pass looks at the machines of a job that list its ended attempts, and not at all machines for each job', () => {
+  const MACHINES = 4000;
+  const JOBS = 200;
+  const t = scheduler(5, { idle_s: 1e6 });
+  const report = (i: number, over: Partial<WorkerReport> = {}) =>
+    t.report([ended(`wk-${i}`, 0), ended(`wk-${i + 1}`, 1)], 5, { machine: `m${i}`, addr: `m${i}`, ...over });
+  for (let i = 0; i < MACHINES; i++) report(i);
+  const looks = vi.spyOn(EndedAttempts.prototype, 'machinesOf');
+  const machinesFor = vi.spyOn(Refusals.prototype, 'machinesFor');
+  t.wants(
+    Array.from({ length: JOBS }, (_, i) =>
+      makeWant(`wk-${i + 10}`, { tasksLeft: [0], cpus: 64, spot: false }),
+    ),
+  );
+  t.later(1000);
+  t.k.flush();
+  const seen = looks.mock.results.reduce(
+    (sum, { value }) => sum + [...(value as Iterable<unknown>)].length,
+    0,
+  );
+  const passes = machinesFor.mock.calls.length / JOBS;
+  vi.restoreAllMocks();
+  expect(passes).toBeGreaterThanOrEqual(1);
+  // Two machines list each job.
+  expect(seen).toBeLessThanOrEqual(2 * JOBS * passes);
+});
+
+// ---- the owner ---------------------------------------------------------------------------------------
+
+function owned(over: Partial<JobSpec>): OwnedJob {
+  const spec = job(new World(1), { cpus: 1, ...over });
+  const stored = { spec, order: 1, jobRevision: 1, counterRevision: 0, cancelled: false, running: 0 };
+  return newJob(spec, { ...stored, count: null, countRaw: null, places: new Map() }, undefined, 1000);
+}
+
+const grantOn = (id: number, endedTasks?: number[]): Grant => ({
+  id,
+  job: 'wk-1',
+  team: 'red',
+  machine: `m${id}`,
+  zone: 'a',
+  season: 1,
+  ...(endedTasks && { endedTasks }),
+});
+
+function placed(of: OwnedJob, grants: Grant[]): [number, number][] {
+  const usage = new TeamUsage(new Map([['red', { name: 'red', cpus: 0, cpusMax: 0, gpus: 0, gpusMax: 0 }]]));
+  const tasks: [number, number][] = [];
+  takeGrants(of, grants, usage, 0, (grant, idx) => tasks.push([grant.id, idx]));
+  return tasks;
+}
+
+test('an owner gives no task to a machine that lists an ended attempt of it', () => {
+  const gangOfThree = owned({ shape: 'gang', tasks: 3 });
+  const tasks = placed(gangOfThree, [grantOn(1, [0, 1]), grantOn(2, [0]), grantOn(3)]);
+  expect(tasks.sort()).toEqual([
+    [1, 2],
+    [2, 1],
+    [3, 0],
+  ]);
+  expect(placed(owned({ shape: 'gang', tasks: 2 }), [grantOn(1, [0]), grantOn(2, [0])])).toEqual([]);
+  const array = owned({ tasks: 3 });
+  expect(placed(array, [grantOn(1, [0, 1])])).toEqual([[1, 2]]);
+  // What was passed over is still there.
+  expect(placed(array, [grantOn(2), grantOn(3)]).map(([, idx]) => idx)).toEqual([0, 1]);
+  const last = owned({ tasks: 1 });
+  expect(placed(last, [grantOn(1, [0])])).toEqual([]);
+  expect([...last.avoid.keys()]).toEqual(['m1']);
+  expect(placed(last, [grantOn(2)])).toEqual([[2, 0]]);
+});
+
+// ---- reports that nobody expects ------------------------------------------------------------------------
+
+test('lists of unknown, ended and future attempts, in two phases at once, late or twice hold no gang up for good', () => {
+  const w = new World(3, { ...new World(1).shape, capacity: 20 });
+  w.faulty.add = () => w.faulty;
+  const spec = job(w, { id: 'wk-gang', shape: 'gang', tasks: 4, cpus: 4, mem: 1, spot: false });
+  const odd = (machine: string): TaskReport[] => [
+    ...[0, 1, 2, 3].map((idx) => ended('wk-gang', idx, { attempt: 90 + idx })),
+    ended('wk-gang', 0, { attempt: 90, phase: 'saving', why: null }),
+    ended('wk-nobody', Number(machine.slice(3)), { phase: 'exited', why: 'error' }),
+  ];
+  w.copies = true;
+  w.submit(spec);
+  for (let second = 0; second < 20; second++) {
+    w.sim.run(w.sim.now + 1000);
+    for (const m of w.workers.values()) {
+      const r = {
+        machine: m.name,
+        addr: m.name,
+        type: m.type,
+        zone: m.zone,
+        spot: m.spot,
+        season: 1,
+        token: m.token,
+      };
+      const ctl = w.procs.get(w.sim.pick(w.hosts))!.ctl;
+      ctl.report({ ...r, tally: m.tally + w.sim.pick([-3, 0, 1]), noticeS: null, tasks: odd(m.name) });
+    }
+  }
+  w.quietFrom = w.sim.now;
+  w.sim.run(w.sim.now + 240_000);
+  expect(w.broken).toEqual([]);
+  expect(w.unfinished()).toEqual([]);
+});
