--- a/test/cancellation.test.ts
+++ b/test/cancellation.test.ts
@@ -183,7 +183,7 @@
   const leader = leaderOf(w);
   const inside = w.hosts.find((h) => h !== leader)!;
   const m = on(ids[0]!)[0]!;
-  w.cloudDown = true;
+  w.cloud.down = true;
   // Its last renewal; from here on it reaches the controller inside alone, which sends it to the leader.
   for (const h of w.hosts) if (h !== inside) w.net.cut(m.name, h, 'reset');
   w.sim.run(w.sim.now + 1000);
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -86,7 +86,7 @@
   const leads = (h: string) => w.procs.get(h)!.ctl.status().scheduler !== null;
   const host = w.hosts.find((h) => !leads(h))!;
   const m = w.machine('small', 'a', false);
-  w.cloudDown = true;
+  w.cloud.down = true;
   w.sim.run(w.sim.now + 8000);
   expect(m.token).toBeGreaterThan(0);
   for (const inside of [host, m.name])
--- a/test/meetings.test.ts
+++ b/test/meetings.test.ts
@@ -228,7 +228,7 @@
   (seed) => {
     const { w, ids } = world(seed, () => 1e6, [{ tasks: 4 }, { team: 'blue', tasks: 3 }]);
     const l = leaderOf(w);
-    w.cloudDown = true;
+    w.cloud.down = true;
     for (const x of [...others(w, l), 'state']) w.net.cut(l, x, 'hold');
     // What the next leader says reaches no worker: they stay with the old one.
     for (const m of w.workers.keys()) for (const h of others(w, l)) w.net.cut(m, h, 'hold');
@@ -248,7 +248,7 @@
 
 test.each(seeds)('more work than room, urgent and not, over slow links (%i)', (seed) => {
   const w = new World(seed);
-  w.capacity = 3;
+  w.cloud.capacity = 3;
   for (const h of [...w.hosts, 'state']) w.net.slow.set(h, 60);
   for (let i = 0; i < 10; i++)
     w.submit(job(w, { team: ['red', 'blue', 'free'][i % 3]!, rank: i % 3 === 0 ? 1 : 3, tasks: 3, cpus: 2 }));
--- a/test/placing.test.ts
+++ b/test/placing.test.ts
@@ -67,7 +67,7 @@
 
 test('a large array begins within its bound while small ones keep coming', () => {
   const w = new World(11);
-  w.capacity = 2;
+  w.cloud.capacity = 2;
   let n = 0;
   const small = () => {
     w.submit(job(w, { id: `wk-s${++n}`, tasks: 2, cpus: 4, estimateS: 6 }));
--- a/test/standin/day.ts
+++ b/test/standin/day.ts
@@ -117,9 +117,9 @@
         }
       return;
     case 12:
-      w.cloudDown = true;
+      w.cloud.down = true;
       return s.after(forMs, () => {
-        w.cloudDown = false;
+        w.cloud.down = false;
       });
     case 13:
       return w.state.loseHistory();
--- a/test/standin/world.ts
+++ b/test/standin/world.ts
@@ -1,20 +1,12 @@
 import { readFileSync } from 'node:fs';
 import type { ApiAnswer, JobState } from '../../src/core/api.js';
 import { Controller, type MeshMsg, type ReportAnswer } from '../../src/core/controller.js';
-import type {
-  Clock,
-  CloudPort,
-  Fields,
-  JobSpec,
-  ListedMachine,
-  Logger,
-  Result,
-  Then,
-  WorkerReport,
-} from '../../src/core/types.js';
+import type { Clock, Fields, JobSpec, Logger, WorkerReport } from '../../src/core/types.js';
 import { taskKey } from '../../src/core/types.js';
 import { checkPolicy } from '../../src/settings/policy.js';
 import { Admission } from './admission.js';
+import { CloudStandin } from './cloud.js';
+import { ODD_JOB } from './odd-job.js';
 import { statePort, workerPort } from './ports.js';
 import { Rules } from './rules.js';
 import { ServiceLevel } from './service-level.js';
@@ -48,36 +40,12 @@
 }
 
 const noop = () => {};
-/** A job for odd requests as long as there is none. */
-const ODD: JobSpec = {
-  id: '',
-  cls: 'c',
-  team: 'red',
-  shape: 'array',
-  rank: 2,
-  tasks: 1,
-  cpus: 1,
-  gpus: 0,
-  mem: 1,
-  image: 'i',
-  imageGb: 1,
-  types: null,
-  zone: null,
-  together: false,
-  apart: false,
-  spot: true,
-  estimateS: 1,
-  checkpointS: 0,
-  saveS: 0,
-  deadlineS: null,
-  at: 0,
-};
-
 /** A deployment in simulated time: controllers as written, everything else a stand-in; the rules are checked on what the stand-ins saw. */
 export class World {
   readonly sim: Sim;
   readonly net: Net;
   readonly state: StateStandin;
+  readonly cloud: CloudStandin;
   readonly hosts: string[];
   readonly procs = new Map<string, Proc>();
   readonly workers = new Map<string, WorkerStandin>();
@@ -87,7 +55,6 @@
   readonly faulty = new Set<string>();
   /** Jobs that fail on every machine. */
   readonly doomed = new Set<string>();
-  cloudDown = false;
   /** Copies of reports come late, from moments to well over a lease. */
   copies = false;
   /** Share of transactions that get no answer and are carried out 2 to 12 s later. */
@@ -98,7 +65,6 @@
   slowReadsMs = 0;
   /** From here on nothing but work is asked of the controllers. */
   quietFrom = Number.POSITIVE_INFINITY;
-  capacity: number;
   starts = 0;
   /** Starts that workers refused: another attempt of the task is listed, or there is no room. */
   readonly refusals = { busy: 0, no_room: 0 };
@@ -107,35 +73,30 @@
   private readonly attemptsStarted = new Set<string>();
   readonly service: ServiceLevel;
   readonly admission: Admission;
-  private machines = 0;
   private instances = 0;
-  private readonly claims = new Map<string, string[]>();
-  private listed: { at: number; list: ListedMachine[] }[] = [];
-  private readonly booted = new Map<string, { l: ListedMachine; at: number }>();
 
   constructor(
     seed: number,
     readonly shape: Shape = SHAPE,
   ) {
     this.hosts = shape.hosts;
-    this.capacity = shape.capacity;
     this.service = new ServiceLevel(shape.teams);
     this.sim = new Sim(seed);
     this.net = new Net(this.sim);
     this.state = new StateStandin(this.sim);
+    this.cloud = new CloudStandin({
+      sim: this.sim,
+      net: this.net,
+      shape,
+      started: ({ name, type, zone, spot }) => this.worker(name, type, zone, spot),
+      stopped: (name) => this.destroy(name),
+      isFaulty: (name) => this.faulty.add(name),
+    });
     this.admission = new Admission(this, (text) => this.fault(text));
     const rules = new Rules(this, (text) => this.fault(text));
     this.sim.afterStep = () => rules.check();
     for (const h of this.hosts) this.boot(h);
-    const snap = () => {
-      this.listed.push({
-        at: this.sim.now,
-        list: [...this.booted.values()].map((b) => ({ ...b.l, ageS: (this.sim.now - b.at) / 1000 })),
-      });
-      if (this.listed.length > 30) this.listed.shift();
-      this.sim.after(1000, snap);
-    };
-    snap();
+    this.cloud.snapshot();
     new Waiting(this, (text) => this.fault(text));
   }
 
@@ -169,7 +130,7 @@
       clock,
       log: this.logger(host),
       statePort: statePort(this, host, (handle) => this.enter(p, handle)),
-      cloud: this.cloudPort(host, p),
+      cloud: this.cloud.port(host, (handle) => this.enter(p, handle)),
       worker: workerPort(this, host, (handle) => this.enter(p, handle)),
       mesh: {
         send: (to, m: MeshMsg) => {
@@ -224,79 +185,26 @@
     this.sim.after(backMs, () => this.boot(host));
   }
 
-  // ---- cloud ------------------------------------------------------------------------------------------
+  // ---- machines ---------------------------------------------------------------------------------------
 
-  private cloudPort(host: string, p: Proc): CloudPort {
-    const ask = <T>(serve: () => Result<T>, cb: Then<T>) =>
-      this.net.call<Result<T>>(
-        host,
-        'cloud',
-        3000,
-        (reply) => reply(this.cloudDown ? { ok: false, kind: 'refused' } : serve()),
-        (a) => this.enter(p, () => cb(a.got ? a.value : { ok: false, kind: a.sent ? 'unknown' : 'refused' })),
-      );
-    return {
-      types: (cb) => ask(() => ({ ok: true, value: this.shape.types }), cb),
-      rent: (claim, type, zone, spot, n, cb) =>
-        ask(() => {
-          const old = this.claims.get(claim);
-          if (old) return { ok: true, value: old };
-          const names: string[] = [];
-          while (names.length < n && this.booted.size < this.capacity && !this.shape.empty.includes(zone))
-            names.push(this.rent(type, zone, spot));
-          if (names.length === 0) return { ok: false, kind: 'gone' };
-          this.claims.set(claim, names);
-          return { ok: true, value: names };
-        }, cb),
-      remove: (names, cb) =>
-        ask(() => {
-          for (const n of names) this.destroy(n);
-          return { ok: true, value: null };
-        }, cb),
-      list: (since, cb) =>
-        ask(() => {
-          const old = this.listed.filter((l) => l.at <= this.sim.now - 3000).at(-1)?.list ?? [];
-          return { ok: true, value: { machines: old.filter((m) => m.name > since), more: false } };
-        }, cb),
-    };
-  }
-
-  private rent(type: string, zone: string, spot: boolean): string {
-    const name = `vm-${String(++this.machines).padStart(6, '0')}`;
-    const l: ListedMachine = { name, addr: name, type, zone, spot, phase: 'booting', ageS: 0 };
-    this.booted.set(name, { l, at: this.sim.now });
-    if (this.sim.chance(0.1)) return name;
-    const t = this.shape.types.find((x) => x.name === type)!;
-    if (this.sim.chance(0.05)) this.faulty.add(name);
-    this.sim.after(this.sim.between(0.3, 1.5) * t.bootS * 1000, () => {
-      if (!this.booted.has(name)) return;
-      l.phase = 'running';
-      this.workers.set(
-        name,
-        new WorkerStandin(name, type, zone, spot, t, this.workerWorld(), {
-          reportMs: this.shape.reportS * 1000,
-          leaseMs: this.shape.leaseS * 1000,
-        }),
-      );
+  private worker(name: string, type: string, zone: string, spot: boolean): WorkerStandin {
+    const size = this.shape.types.find((known) => known.name === type)!;
+    const worker = new WorkerStandin(name, type, zone, spot, { ...size }, this.workerWorld(), {
+      reportMs: this.shape.reportS * 1000,
+      leaseMs: this.shape.leaseS * 1000,
     });
-    return name;
+    this.workers.set(name, worker);
+    return worker;
   }
 
   /** A machine that is up at once, for tests of their own. */
   machine(type: string, zone: string, spot: boolean): WorkerStandin {
-    const name = `vm-${String(++this.machines).padStart(6, '0')}`;
-    const t = this.shape.types.find((x) => x.name === type)!;
-    const m = new WorkerStandin(name, type, zone, spot, { ...t }, this.workerWorld(), {
-      reportMs: this.shape.reportS * 1000,
-      leaseMs: this.shape.leaseS * 1000,
-    });
-    this.workers.set(name, m);
-    return m;
+    return this.worker(this.cloud.nextName(), type, zone, spot);
   }
 
   /** Deleted, or taken by the cloud. */
   destroy(name: string): void {
-    this.booted.delete(name);
+    this.cloud.forget(name);
     this.workers.get(name)?.die();
     this.workers.delete(name);
   }
@@ -504,7 +412,7 @@
     const known = [...this.jobs.values()].filter((j) => j.accepted);
     const j = known.length > 0 ? this.sim.pick(known) : undefined;
     if (!j || this.sim.chance(0.3)) {
-      const spec = { ...(j?.spec ?? ODD), id: `wk-odd${++this.odd}`, cpus: 1e6 };
+      const spec = { ...(j?.spec ?? ODD_JOB), id: `wk-odd${++this.odd}`, cpus: 1e6 };
       return this.ask(
         (c, r) => c.api.submit(spec, r),
         (a) => a?.s === 'job' && this.fault(`accepted: ${spec.id} fits no machine`),
