--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -58,6 +58,7 @@
       nodes: this.nodes,
       jobs: new Map(),
       results: new Set(),
+      gangs: new Map(),
       runSeconds: site.runSeconds,
       onTask: (event) => this.onTask(event),
     };
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -11,7 +11,8 @@
   /**
    * @param machine - `name`, `type` (of the cloud's list), `zone`, `spot`
    * @param world - `record`, `workers` (of the settings), `nodes` (name to address), `jobs` (submitted jobs by
-   *   id), `runSeconds(jobId, index)`, `results` (names of completed tasks), `onTask(event)`
+   *   id), `runSeconds(jobId, index)`, `results` (names of completed tasks), `gangs` (attempts of gangs),
+   *   `onTask(event)`
    */
   constructor(machine, world) {
     this.machine = machine;
@@ -188,18 +189,54 @@
     this.pull(job, () => {
       if (task.phase !== 'pulling') return;
       if (this.world.results.has(sapling)) return this.end(task, 'done');
-      task.phase = 'running';
-      this.world.onTask({ type: 'running', task, machine: this.machine });
-      const seconds = this.world.runSeconds(jobId, task.index);
-      if (Number.isFinite(seconds))
-        task.timer = setTimeout(() => {
-          this.world.results.add(sapling);
-          this.end(task, 'done');
-        }, seconds * 1000);
-      this.onChange();
+      if (job.shape === 'group') this.gather(task);
+      else this.run(task);
     });
   }
 
+  run(task) {
+    task.phase = 'running';
+    this.world.onTask({ type: 'running', task, machine: this.machine });
+    const seconds = this.world.runSeconds(task.jobId, task.index);
+    if (Number.isFinite(seconds)) task.timer = setTimeout(() => this.finish(task), seconds * 1000);
+    this.onChange();
+  }
+
+  finish(task) {
+    // The tasks of a gang complete together.
+    for (const { member, worker } of task.gang?.slice() ?? [{ member: task, worker: this }]) {
+      this.world.results.add(member.sapling);
+      worker.end(member, 'done');
+    }
+  }
+
+  /** A task of a gang waits until all tasks of its attempt are there. */
+  gather(task) {
+    const key = `${task.jobId}#${task.sprout}`;
+    const gang = this.world.gangs.get(key) ?? [];
+    this.world.gangs.set(key, gang);
+    task.phase = 'gathering';
+    task.gang = gang;
+    gang.push({ member: task, worker: this });
+    this.onChange();
+    task.timer = setTimeout(() => this.end(task, 'incomplete'), this.world.workers.gang_wait_s * 1000);
+    if (gang.length < task.job.saplings) return;
+    for (const { member, worker } of gang) {
+      clearTimeout(member.timer);
+      worker.run(member);
+    }
+  }
+
+  /** A task of a gang is gone: the rest keep waiting, or notice it within `gang_peer_s` if the gang runs. */
+  leaveGang(task) {
+    const rest = task.gang.filter(({ member }) => member !== task);
+    task.gang.splice(0, task.gang.length, ...rest);
+    if (task.blight === 'done') return;
+    for (const { member, worker } of rest)
+      if (member.phase === 'running')
+        setTimeout(() => worker.end(member, 'mates_gone'), (this.world.workers.gang_peer_s * 1000) / 2);
+  }
+
   refusal({ sapling, jobId, index, job }) {
     if (!job || !(index >= 0 && index < job.saplings)) return 'unknown';
     let { vcpus, cards, ram_gb: ram } = job;
@@ -248,6 +285,7 @@
     clearTimeout(task.timer);
     task.phase = 'ended';
     task.blight = blight;
+    if (task.gang && wasOnMachine) this.leaveGang(task);
     this.world.onTask({ type: 'end', task, machine: this.machine, blight, wasOnMachine });
     if (!silently) this.onChange();
   }
