--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -13,6 +13,8 @@
 
 const ROOT = fileURLToPath(new URL('../../', import.meta.url));
 const RESTART_SECONDS = 3;
+/** A case that has not come to an end by then could not run. */
+const MAX_RUN_SECONDS = 118.5;
 
 /** Thrown when the case could not be carried out; the script then exits with 2. */
 export class CannotRun extends Error {}
@@ -235,6 +237,10 @@
   };
   process.on('SIGTERM', finish);
   process.on('SIGINT', finish);
+  setTimeout(() => {
+    deployment.record.line('test', `could not run: not at its end after ${MAX_RUN_SECONDS} s`);
+    finish();
+  }, MAX_RUN_SECONDS * 1000);
   try {
     deployment.record.line('test', `the disruption ${trouble ? 'takes place' : 'is left out (TROUBLE=0)'}`);
     await deployment.start();
