--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -25,6 +25,12 @@
     this.images = new Set();
     this.pulls = new Map();
     this.alive = true;
+    this.connect();
+  }
+
+  /** The next report opens a new connection; the present one is closed. */
+  connect() {
+    this.agent?.destroy();
     this.agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
   }
 
@@ -112,6 +118,7 @@
       this.scheduleNext();
       return;
     }
+    this.connect();
     const keeper = response.status === 421 ? response.body?.keeper : undefined;
     if (keeper !== undefined && keeper !== this.node && this.world.nodes.has(keeper)) {
       this.node = keeper;
