--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -107,7 +107,7 @@
     const child = spawn(program, [...args, file], {
       cwd: ROOT,
       stdio: ['ignore', 'ignore', 'pipe'],
-      env: { ...process.env, LOG_LEVEL: process.env.LOG_LEVEL ?? 'info' },
+      env: { ...process.env, LOG_LEVEL: 'info' },
     });
     this.controllers.set(name, child);
     this.record.line(name, `started, process ${child.pid}`);
