Failure detector: the suspicion of the controller itself is logged with its evidence

Change: the line names the machines, those that answer, the peers heard, the age of the term and the time until the first lease is over. The time at which a lease is over has one place, leaseOverAt.

--- a/src/scheduler/failure-detector.ts
+++ b/src/scheduler/failure-detector.ts
@@ -215,14 +215,12 @@
         this.actions.deleteMachine(machine, 'unresponsive');
   }
 
-  private suspectSelf({ now, machines, live, answering, redirected, expired }: LivenessSummary): void {
+  private suspectSelf(summary: LivenessSummary): void {
+    const { now, machines, live, answering, expired } = summary;
     const overdue = machines - live;
     if (this.selfSuspectedSince === 0) {
       this.selfSuspectedSince = now;
-      this.options.log.info(
-        { unresponsive: expired.length, heard: live, redirected },
-        'many machines unresponsive at once: suspecting this controller',
-      );
+      this.logSuspicion(summary);
     }
     // If at least half of the unresponsive machines answer direct commands, their workers cannot reach any
     // controller: another leader would receive no heartbeats either.
@@ -232,11 +230,34 @@
       return;
     }
     // Machines whose lease has expired are deleted all the same: their tasks have ended in any case.
-    for (const machine of expired) {
-      const lastAliveAt = Math.max(lastPossibleLeaseRenewalAt(machine), this.state.startedAt);
-      if (now - lastAliveAt > this.leaseMs + LEASE_EXPIRY_GRACE_MS)
-        this.actions.deleteMachine(machine, 'unresponsive past its lease');
-    }
+    for (const machine of expired)
+      if (now > this.leaseOverAt(machine)) this.actions.deleteMachine(machine, 'unresponsive past its lease');
+  }
+
+  /**
+   * When a machine's worker has certainly ended its tasks. An earlier leader may have renewed the lease until
+   * this one's term began.
+   */
+  private leaseOverAt(machine: Machine): number {
+    const lastAliveAt = Math.max(lastPossibleLeaseRenewalAt(machine), this.state.startedAt);
+    return lastAliveAt + this.leaseMs + LEASE_EXPIRY_GRACE_MS;
+  }
+
+  private logSuspicion({ now, machines, live, answering, redirected, expired }: LivenessSummary): void {
+    const firstLeaseOverAt = Math.min(...expired.map((machine) => this.leaseOverAt(machine)));
+    this.options.log.info(
+      {
+        machines,
+        unresponsive: expired.length,
+        heard: live,
+        answering,
+        redirected,
+        peers: this.options.recentPeerCount(),
+        termAgeMs: Math.round(now - this.state.startedAt),
+        firstLeaseOverInMs: Math.round(firstLeaseOverAt - now),
+      },
+      'many machines unresponsive at once: suspecting this controller',
+    );
   }
 
   /**
