Failure detector: a leader that hears no machine hands over only if another may hear more

Cause: each leader that heard no machine resigned 30 s after its term began, but machines are given up only lease + 5 s (39 s) after it, because an earlier leader may have renewed their leases until then. The next leader heard as little and did the same. Fix: workers that do not reach the leader turn to its peers, which report them. The leader now hands over only if a peer has redirected a worker since its last contact, or if some other live controller does not report to it. Otherwise no other controller would hear more: it stays and deletes the machines when their leases are over. Leases are waited for as before.

--- a/src/controller/controller-components.ts
+++ b/src/controller/controller-components.ts
@@ -19,6 +19,7 @@
 import { CancellationCoordinator } from './cancellation-coordinator.js';
 import type { ControllerOptions } from './controller-options.js';
 import { EventQueue, type EventQueueOptions } from './event-queue.js';
+import { findHandoverCandidates } from './handover-candidates.js';
 import { ImageReplication } from './image-replication.js';
 import { LeaderElection } from './leader-election.js';
 import { Leadership } from './leadership.js';
@@ -230,6 +231,7 @@
       isCancelled: (jobId) => cancellationCoordinator.isCancelled(jobId),
       knownCancellationPeriod: (now) => cancellationCoordinator.knownCancellationPeriod(now),
       recentPeerCount: () => this.peerRegistry.countRecentlyHeard(clock.now()),
+      handoverCandidates: () => findHandoverCandidates(this, { ...options, fencingToken, now: clock.now() }),
       resign: (reason) => this.election.resign(fencingToken, reason),
       raiseFencingToken: (reason) => this.election.raiseFencingToken(fencingToken, reason),
     });
--- a/src/controller/peer-registry.ts
+++ b/src/controller/peer-registry.ts
@@ -1,7 +1,7 @@
 /** The other controllers, as known from their messages. */
 
 import { PeerTimestamps } from '../model/cancellation-coverage.js';
-import type { PeerMessage } from '../model/peer-message.js';
+import type { PeerHeartbeat, PeerMessage } from '../model/peer-message.js';
 
 /** The latest known process of a peer. */
 export interface Peer {
@@ -14,6 +14,8 @@
    * the delay of the peer's message.
    */
   readonly lastStoreContactAt: number;
+  /** Fencing token of the leader to which the peer redirects workers; 0 if it knows none. */
+  readonly leaderToken: number;
   /** Timestamps issued by the peer's process, with the times at which they were received. */
   readonly timestamps: PeerTimestamps;
 }
@@ -26,6 +28,11 @@
 
 /** A peer counts as recently heard for this long after its last message. */
 const RECENTLY_HEARD_MS = 3000;
+/**
+ * A peer that was heard within this time still reports to the leader which workers reach it. Longer than
+ * `RECENTLY_HEARD_MS`, so that a short pause of a peer does not make the leader hand over.
+ */
+const REPORTS_WITHIN_MS = 8000;
 
 /**
  * Keeps the state reported by the latest process of each peer, and filters out late and repeated messages.
@@ -72,12 +79,31 @@
         message.body.type === 'heartbeat'
           ? now - message.body.storeContactAgeMs
           : (known?.lastStoreContactAt ?? Number.NEGATIVE_INFINITY),
+      leaderToken:
+        message.body.type === 'heartbeat' ? followedToken(message.body) : (known?.leaderToken ?? 0),
       timestamps: isSameProcess ? known.timestamps : new PeerTimestamps(),
     };
     this.peers.set(message.nodeName, peer);
     return peer;
   }
 
+  /**
+   * Returns whether a process reports to the leader of this fencing token which workers reach it: it redirects
+   * them to that leader, and was heard lately.
+   */
+  reportsToLeader(
+    { nodeName, instanceId }: { nodeName: string; instanceId: string },
+    fencingToken: number,
+    now: number,
+  ): boolean {
+    const peer = this.peers.get(nodeName);
+    return (
+      peer?.instanceId === instanceId &&
+      peer.leaderToken === fencingToken &&
+      now - peer.lastHeardAt < REPORTS_WITHIN_MS
+    );
+  }
+
   /** Returns the number of recently heard peers. */
   countRecentlyHeard(now: number): number {
     let count = 0;
@@ -99,3 +125,8 @@
     return false;
   }
 }
+
+/** The fencing token of the leader that a peer follows; 0 if it knows no leader. */
+function followedToken({ leaderName, fencingToken }: PeerHeartbeat): number {
+  return leaderName === '' ? 0 : fencingToken;
+}
--- a/src/scheduler/failure-detector.ts
+++ b/src/scheduler/failure-detector.ts
@@ -69,6 +69,8 @@
   answering: number;
   /** Machines without a recent heartbeat that a peer has redirected. */
   redirected: number;
+  /** Machines that a peer has redirected since they were last known to receive responses from here. */
+  reachingPeers: number;
   /** Machines that have been unresponsive for longer than allowed: candidates for deletion. */
   readonly expired: Machine[];
   readonly zones: Map<string, ZoneCount>;
@@ -118,6 +120,7 @@
       live: 0,
       answering: 0,
       redirected: 0,
+      reachingPeers: 0,
       expired: [],
       zones: new Map(),
     };
@@ -133,7 +136,9 @@
     const zone = countInZone(machine.zone, summary);
     // Only heartbeats renew leases: a machine that only answers direct commands loses its lease.
     const lastRenewalAt = lastPossibleLeaseRenewalAt(machine);
-    const unresponsiveMs = this.unresponsiveMs(machine, lastRenewalAt, now);
+    const lastAliveAt = lastTwoWayContactAt(machine);
+    // Workers need some time to find a new leader.
+    const unresponsiveMs = now - Math.max(lastAliveAt, this.state.startedAt + this.heartbeatIntervalMs);
     if (machine.missedResponses.count === 1) this.probe(machine, now);
     if (unresponsiveMs < this.probeAfterMs) {
       summary.live++;
@@ -143,6 +148,7 @@
     if (isAnswering) summary.answering++;
     else zone.silent++;
     if (!machine.directCommands.inFlight) this.probe(machine, now);
+    if (this.isRedirected(machine, lastAliveAt, now)) summary.reachingPeers++;
     if (this.isRedirected(machine, lastRenewalAt, now)) {
       summary.redirected++;
       if (unresponsiveMs < this.leaseMs) return;
@@ -156,19 +162,10 @@
     if (unresponsiveMs > limitMs && (isAnswering || isUnreachable)) summary.expired.push(machine);
   }
 
-  private unresponsiveMs(machine: Machine, lastRenewalAt: number, now: number): number {
-    // A machine that does not receive responses counts as unresponsive from the first missed response on.
-    const lastAliveAt =
-      machine.missedResponses.count >= MISSED_RESPONSES_THRESHOLD
-        ? Math.min(lastRenewalAt, machine.missedResponses.since)
-        : lastRenewalAt;
-    // Workers need some time to find a new leader.
-    return now - Math.max(lastAliveAt, this.state.startedAt + this.heartbeatIntervalMs);
-  }
-
-  private isRedirected(machine: Machine, lastRenewalAt: number, now: number): boolean {
+  /** Whether a peer has redirected a machine recently, and since the given time of its last contact. */
+  private isRedirected(machine: Machine, lastContactAt: number, now: number): boolean {
     return (
-      machine.redirectedAt > lastRenewalAt + REDIRECT_MARGIN_MS &&
+      machine.redirectedAt > lastContactAt + REDIRECT_MARGIN_MS &&
       now - machine.redirectedAt < REDIRECT_VALIDITY_PERIODS * this.probeAfterMs
     );
   }
@@ -216,15 +213,15 @@
   }
 
   private suspectSelf(summary: LivenessSummary): void {
-    const { now, machines, live, answering, expired } = summary;
-    const overdue = machines - live;
+    const { now, expired } = summary;
     if (this.selfSuspectedSince === 0) {
       this.selfSuspectedSince = now;
       this.logSuspicion(summary);
     }
-    // If at least half of the unresponsive machines answer direct commands, their workers cannot reach any
-    // controller: another leader would receive no heartbeats either.
-    if (live === 0 && answering * 2 < overdue && now - this.selfSuspectedSince > this.heartbeatIntervalMs) {
+    if (
+      now - this.selfSuspectedSince > this.heartbeatIntervalMs &&
+      this.couldAnotherLeaderHearMore(summary)
+    ) {
       this.selfSuspectedSince = now;
       this.options.resign('no heartbeats from any machine');
       return;
@@ -234,6 +231,19 @@
       if (now > this.leaseOverAt(machine)) this.actions.deleteMachine(machine, 'unresponsive past its lease');
   }
 
+  /**
+   * Whether to hand over because no heartbeats arrive. If another leader would receive none either, handing
+   * over only delays the end of the unresponsive machines: each leader waits for their leases anew.
+   */
+  private couldAnotherLeaderHearMore({ machines, live, answering, reachingPeers }: LivenessSummary): boolean {
+    if (live > 0) return false;
+    // If at least half of the machines answer direct commands, their workers cannot reach any controller.
+    if (answering * 2 >= machines) return false;
+    // Peers report the workers that reach them. Whether any reach the other controllers is not known.
+    const { total, reporting } = this.options.handoverCandidates();
+    return reachingPeers > 0 || reporting < total;
+  }
+
   /**
    * When a machine's worker has certainly ended its tasks. An earlier leader may have renewed the lease until
    * this one's term began.
@@ -244,6 +254,7 @@
   }
 
   private logSuspicion({ now, machines, live, answering, redirected, expired }: LivenessSummary): void {
+    const { total, reporting } = this.options.handoverCandidates();
     const firstLeaseOverAt = Math.min(...expired.map((machine) => this.leaseOverAt(machine)));
     this.options.log.info(
       {
@@ -252,7 +263,8 @@
         heard: live,
         answering,
         redirected,
-        peers: this.options.recentPeerCount(),
+        otherControllers: total,
+        reportingControllers: reporting,
         termAgeMs: Math.round(now - this.state.startedAt),
         firstLeaseOverInMs: Math.round(firstLeaseOverAt - now),
       },
@@ -279,6 +291,17 @@
   }
 }
 
+/**
+ * When a machine's worker was last known to be alive and to receive responses: one that does not receive them
+ * counts as unresponsive from the first missed response on.
+ */
+function lastTwoWayContactAt(machine: Machine): number {
+  const lastRenewalAt = lastPossibleLeaseRenewalAt(machine);
+  return machine.missedResponses.count >= MISSED_RESPONSES_THRESHOLD
+    ? Math.min(lastRenewalAt, machine.missedResponses.since)
+    : lastRenewalAt;
+}
+
 /** Counts a machine in its zone and in the number of machines, and returns the counts of the zone. */
 function countInZone(name: string, summary: LivenessSummary): ZoneCount {
   summary.machines++;
--- a/src/scheduler/scheduler-options.ts
+++ b/src/scheduler/scheduler-options.ts
@@ -11,6 +11,13 @@
 import type { WorkerCommandPort } from '../model/worker-command-port.js';
 import type { ImageLocations } from './image-locations.js';
 
+/** The other live controllers, to which the leader could hand over. */
+export interface HandoverCandidates {
+  total: number;
+  /** Those that report the workers that reach them, and that they redirect to this leader. */
+  reporting: number;
+}
+
 /** Settings, ports and callbacks of a scheduler, which acts under a single fencing token. */
 export interface SchedulerOptions {
   instanceId: string;
@@ -42,6 +49,8 @@
   onHigherToken(token: number): void;
   /** The number of other controllers from which this one has recently received messages. */
   recentPeerCount(): number;
+  /** The controllers that could lead instead of this one. */
+  handoverCandidates(): HandoverCandidates;
   /**
    * The latest cancellation coverage (the time up to which all stored cancellations have become stops)
    * computed by any leader, in times of this controller's clock; null: none is known.
--- /dev/null
+++ b/test/lost-machines.test.ts
@@ -0,0 +1,108 @@
+/** Machines that are lost all at once, and leaders that hear no machine. */
+
+import { describe, expect, test } from 'vitest';
+import { CLUSTER_CONFIG, type ClusterConfig } from './simulation/cluster-config.js';
+import { isLeader, leaderOf, runFor, runUntil, workersOfJob } from './simulation/cluster-queries.js';
+import { ClusterSimulation } from './simulation/cluster-simulation.js';
+import { makeJobSpec } from './simulation/job-spec.js';
+
+/** Time within which the tasks of lost machines must run again: the users' limit for a job that waits. */
+const MAX_RECOVERY_MS = 90_000;
+/** Longer than any test: tasks run until they are lost. */
+const RUN_SECONDS = 3600;
+const SEEDS = [1, 2, 3];
+const SHORT_LEASES = { heartbeatIntervalSeconds: 2, leaseSeconds: 20, cancellationSeconds: 40 };
+const LONG_LEASES = { heartbeatIntervalSeconds: 6, leaseSeconds: 34, cancellationSeconds: 64 };
+
+interface RunningJob {
+  simulation: ClusterSimulation;
+  jobId: string;
+  taskCount: number;
+}
+
+function makeConfig(controllerCount: number, timing: typeof SHORT_LEASES): ClusterConfig {
+  const nodeNames = Array.from({ length: controllerCount }, (_, index) => `c${index}`);
+  return { ...CLUSTER_CONFIG, ...timing, nodeNames };
+}
+
+/** Starts a cluster whose only job has each task on a machine of its own. */
+function startJob(seed: number, config: ClusterConfig, taskCount: number): RunningJob {
+  const simulation = new ClusterSimulation(seed, config);
+  simulation.bootsFaultyMachines = false;
+  simulation.runDurationMs = () => RUN_SECONDS * 1000;
+  const spec = makeJobSpec(simulation, {
+    team: 'free',
+    taskCount,
+    cpus: 4,
+    machineTypes: ['small'],
+    estimatedRunSeconds: RUN_SECONDS,
+  });
+  simulation.users.submitJob(spec);
+  const job = { simulation, jobId: spec.id, taskCount };
+  expectAllTasksRunning(job, 120_000);
+  // Machines that never boot are returned meanwhile.
+  runFor(simulation, 40_000);
+  return job;
+}
+
+function expectAllTasksRunning({ simulation, jobId, taskCount }: RunningJob, withinMs: number): void {
+  const isRunning = () => workersOfJob(simulation, jobId).length === taskCount;
+  expect(runUntil(simulation, { timeoutMs: withinMs, stepMs: 200 }, isRunning)).toBe(true);
+}
+
+function destroyAllMachines({ workers, machines }: ClusterSimulation): void {
+  for (const name of [...workers.keys()]) machines.destroy(name);
+}
+
+function cutFrom({ network }: ClusterSimulation, nodeName: string, others: Iterable<string>): void {
+  for (const other of others) network.cut(nodeName, other, 'reset');
+}
+
+describe('all machines are lost at once', () => {
+  const cases = [1, 2, 3, 5].flatMap((controllers) =>
+    SEEDS.flatMap((seed) => [
+      { controllers, seed, timing: SHORT_LEASES },
+      { controllers, seed, timing: LONG_LEASES },
+    ]),
+  );
+
+  // Guards against leaders that resign one after the other because no machine is heard, each before it has
+  // given up the lost machines: no task of the job was ever started again.
+  test.each(cases)(
+    'the job runs again ($controllers controllers, leases of $timing.leaseSeconds s, seed $seed)',
+    (options) => {
+      const job = startJob(options.seed, makeConfig(options.controllers, options.timing), 4);
+      destroyAllMachines(job.simulation);
+      expectAllTasksRunning(job, MAX_RECOVERY_MS);
+      expect(job.simulation.violations).toEqual([]);
+    },
+  );
+});
+
+describe('a leader that is cut off from its workers', () => {
+  const cases = [3, 5].flatMap((controllers) =>
+    SEEDS.flatMap((seed) => [
+      { controllers, seed, others: 'its workers', cutPeers: false },
+      { controllers, seed, others: 'its workers and its peers', cutPeers: true },
+    ]),
+  );
+
+  // Guards against a leader that keeps the leadership while workers reach another controller: their leases
+  // would expire, and it would delete their machines.
+  test.each(cases)('hands over ($controllers controllers, cut off from $others, seed $seed)', (options) => {
+    const config = makeConfig(options.controllers, LONG_LEASES);
+    const { simulation, taskCount } = startJob(options.seed, config, 4);
+    const leader = leaderOf(simulation);
+    const workers = [...simulation.workers.values()];
+    cutFrom(simulation, leader, simulation.workers.keys());
+    const peers = simulation.nodeNames.filter((nodeName) => nodeName !== leader);
+    if (options.cutPeers) cutFrom(simulation, leader, peers);
+    runFor(simulation, 120_000);
+    expect(isLeader(simulation, leader)).toBe(false);
+    expect(workers.map(({ isAlive, workerEpoch }) => [isAlive, workerEpoch])).toEqual(
+      workers.map(() => [true, 1]),
+    );
+    expect(simulation.taskStarts).toBe(taskCount);
+    expect(simulation.violations).toEqual([]);
+  });
+});
--- a/test/simulation/scheduler-harness.ts
+++ b/test/simulation/scheduler-harness.ts
@@ -41,6 +41,8 @@
   readonly resignationReasons: string[] = [];
   /** Number of peers that the scheduler is told it has recently heard from. */
   readonly recentlyHeardPeers = { count: 0 };
+  /** The other controllers that could lead instead. */
+  readonly handoverCandidates = { total: 0, reporting: 0 };
   /** Jobs that the scheduler knows to be stored as cancelled, regardless of what their owner has read. */
   readonly cancelledJobs = new Set<string>();
   /**
@@ -111,6 +113,7 @@
       isCancelled: (id) => this.cancelledJobs.has(id),
       knownCancellationPeriod: (at) => ({ since: at, until: Number.NEGATIVE_INFINITY }),
       recentPeerCount: () => this.recentlyHeardPeers.count,
+      handoverCandidates: () => this.handoverCandidates,
       resign: (reason) => this.resignationReasons.push(reason),
       raiseFencingToken: (reason) => this.tokenRaiseReasons.push(reason),
     };
