Failure detector: the last of many unreachable machines keep their leases

Seen (simulated clusters): of three machines cut off from all controllers one was deleted while its worker still held its lease and ran its tasks. No rule broke, as the cloud confirms deletions first, but the tasks were lost for nothing. Cause: a leader that suspects itself deletes machines only after their leases. When the first were deleted, the rest no longer counted as many, and so as independent failures, which are deleted after silent_s.

--- a/src/scheduler/failure-detector.ts
+++ b/src/scheduler/failure-detector.ts
@@ -186,26 +186,28 @@
       this.options.resign('workers reach peers only');
       return;
     }
-    if (expired.length === 0) {
-      this.selfSuspectedSince = 0;
+    if (expired.length > 0 && !this.areMachinesAtFault(summary)) {
+      this.suspectSelf(summary);
       return;
     }
-    if (this.areMachinesAtFault(summary)) this.deleteUnlessKept(expired, now);
-    else this.suspectSelf(summary);
+    this.selfSuspectedSince = 0;
+    this.deleteUnlessKept(expired, now);
   }
 
   private areMachinesAtFault({ machines, live, redirected }: LivenessSummary): boolean {
     const overdue = machines - live;
+    if (live >= overdue) return true;
     const isMany =
-      overdue > Math.max(MAX_INDEPENDENT_FAILURES, machines * this.state.policy.maxUnresponsiveShare) &&
-      live < overdue;
-    if (!isMany) return true;
+      overdue > Math.max(MAX_INDEPENDENT_FAILURES, machines * this.state.policy.maxUnresponsiveShare);
+    // Of many machines, the few that are left once others were deleted are no independent failures.
+    if (!isMany && this.selfSuspectedSince === 0) return true;
     // This controller still receives heartbeats, and recently heard peers have redirected hardly any of the
     // unresponsive machines, so the machines are at fault.
     return live > 0 && this.options.recentPeerCount() > 0 && redirected < overdue * MAX_REDIRECTED_SHARE;
   }
 
   private deleteUnlessKept(machines: readonly Machine[], now: number): void {
+    if (machines.length === 0) return;
     const capacities = this.state.preemptibleCapacities(now);
     for (const machine of machines)
       if (!this.actions.shouldKeepUnreachable(machine, capacities, now))
--- a/test/lost-machines.test.ts
+++ b/test/lost-machines.test.ts
@@ -12,6 +12,7 @@
 const RUN_SECONDS = 3600;
 const SEEDS = [1, 2, 3];
 const SHORT_LEASES = { heartbeatIntervalSeconds: 2, leaseSeconds: 20, cancellationSeconds: 40 };
+const SLOW_HEARTBEATS = { heartbeatIntervalSeconds: 10, leaseSeconds: 60, cancellationSeconds: 120 };
 const LONG_LEASES = { heartbeatIntervalSeconds: 6, leaseSeconds: 34, cancellationSeconds: 64 };
 
 interface RunningJob {
@@ -106,3 +107,17 @@
     expect(simulation.violations).toEqual([]);
   });
 });
+
+describe('all machines are cut off from all controllers', () => {
+  // Guards against a leader that, having given up some of the machines, takes the few that are left for
+  // independent failures and deletes them while their workers may still hold their leases.
+  test.each(SEEDS)('none is deleted within its lease (seed %i)', (seed) => {
+    const { simulation } = startJob(seed, makeConfig(3, SLOW_HEARTBEATS), 3);
+    const workers = [...simulation.workers.values()];
+    for (const nodeName of simulation.nodeNames) cutFrom(simulation, nodeName, simulation.workers.keys());
+    const areDeleted = () => workers.every(({ isAlive }) => !isAlive);
+    expect(runUntil(simulation, { timeoutMs: MAX_RECOVERY_MS, stepMs: 200 }, areDeleted)).toBe(true);
+    expect(workers.filter(({ workerEpoch }) => workerEpoch === 1).map(({ name }) => name)).toEqual([]);
+    expect(simulation.violations).toEqual([]);
+  });
+});
