Election: a leader that hears no workers does not hand over to one that has just done so

Seen (simulated clusters): with all machines lost and no connection between the controllers the leadership went round without end, and the job was not started again within 240 s in 9 of 9 cases. Cause: what a leader has found out ended with its term; without its peers it cannot know that they heard no workers either. Fix: the transaction that deletes the leader record names the leader in sys/handover. The record counts for the next token only, grows from handover to handover and is dropped once most workers have reported the leader's token. A leader hands over only to a live controller that is not named, and named ones stand back for 2 s in the next election.

--- a/src/controller/controller-components.ts
+++ b/src/controller/controller-components.ts
@@ -19,7 +19,7 @@
 import { CancellationCoordinator } from './cancellation-coordinator.js';
 import type { ControllerOptions } from './controller-options.js';
 import { EventQueue, type EventQueueOptions } from './event-queue.js';
-import { findHandoverCandidates } from './handover-candidates.js';
+import { HandoverHistory } from './handover-history.js';
 import { ImageReplication } from './image-replication.js';
 import { LeaderElection } from './leader-election.js';
 import { Leadership } from './leadership.js';
@@ -81,6 +81,7 @@
   readonly openJobs: WatchCache;
   readonly lease: NodeLease;
   readonly leadership: Leadership;
+  readonly handoverHistory: HandoverHistory;
   readonly election: LeaderElection;
   /** The latest state reported by each of the other controllers. */
   readonly peerRegistry = new PeerRegistry();
@@ -115,6 +116,7 @@
     this.openJobs = this.createOpenJobs();
     this.lease = this.createLease();
     this.leadership = this.createLeadership();
+    this.handoverHistory = this.createHandoverHistory();
     this.election = this.createElection();
     this.messenger = this.createMessenger();
     this.cancellationCoordinator = this.createCancellationCoordinator();
@@ -231,15 +233,22 @@
       isCancelled: (jobId) => cancellationCoordinator.isCancelled(jobId),
       knownCancellationPeriod: (now) => cancellationCoordinator.knownCancellationPeriod(now),
       recentPeerCount: () => this.peerRegistry.countRecentlyHeard(clock.now()),
-      handoverCandidates: () => findHandoverCandidates(this, { ...options, fencingToken, now: clock.now() }),
+      handoverCandidates: () => this.handoverHistory.candidates(fencingToken, clock.now()),
+      onWorkersHeard: () => this.handoverHistory.onWorkersHeard(),
       resign: (reason) => this.election.resign(fencingToken, reason),
       raiseFencingToken: (reason) => this.election.raiseFencingToken(fencingToken, reason),
     });
   }
 
+  private createHandoverHistory(): HandoverHistory {
+    const { nodeName } = this.options;
+    const { records, leadership, peerRegistry } = this;
+    return new HandoverHistory({ nodeName, records, leadership, peerRegistry });
+  }
+
   private createElection(): LeaderElection {
     const { instanceId, nodeName, clock } = this.options;
-    const { store, queue, records, lease, leadership } = this;
+    const { store, queue, records, lease, leadership, handoverHistory } = this;
     return new LeaderElection({
       instanceId,
       nodeName,
@@ -249,6 +258,7 @@
       records,
       lease,
       leadership,
+      handoverHistory,
     });
   }
 
--- a/src/controller/leader-election.ts
+++ b/src/controller/leader-election.ts
@@ -1,11 +1,12 @@
 /** Leader election: one compare-and-swap raises the fencing token and claims the leader record. */
 
 import type { Clock } from '../model/clock.js';
-import { type KeyValueStore, URGENCY } from '../model/key-value-store.js';
-import type { LeaderRecord } from '../model/records.js';
-import { FENCING_TOKEN_KEY, LEADER_KEY } from '../store/keyspace.js';
-import { leaderRecord, tokenRecord } from '../store/record-codec.js';
+import { type KeyValueStore, type StoreOperation, URGENCY } from '../model/key-value-store.js';
+import type { HandoverRecord, LeaderRecord } from '../model/records.js';
+import { FENCING_TOKEN_KEY, HANDOVER_KEY, LEADER_KEY } from '../store/keyspace.js';
+import { handoverRecord, leaderRecord, tokenRecord } from '../store/record-codec.js';
 import type { EventQueue } from './event-queue.js';
+import type { HandoverHistory } from './handover-history.js';
 import type { Leadership } from './leadership.js';
 import type { NodeLease } from './node-lease.js';
 import type { SystemRecords } from './system-records.js';
@@ -25,6 +26,8 @@
 const FIRST_CAMPAIGN_CHECK_DELAY_MS = 110;
 /** How long a controller that has resigned does not campaign, so that another one is elected. */
 const RESIGNATION_PAUSE_MS = 20000;
+/** How long the controllers that have handed over leave a vacant leadership to the others. */
+const HANDED_OVER_PAUSE_MS = 2000;
 /**
  * Minimum interval between raises of the fencing token: each makes all shard owners resend their complete
  * state (a full sync).
@@ -43,6 +46,7 @@
   records: SystemRecords;
   lease: NodeLease;
   leadership: Leadership;
+  handoverHistory: HandoverHistory;
 }
 
 /**
@@ -52,6 +56,9 @@
 export class LeaderElection {
   private campaignInFlight = false;
   private resignedUntil = 0;
+  private vacantSince = 0;
+  /** The record of this controller's last handover. */
+  private handover: HandoverRecord | null = null;
   private nextCampaignAt = 0;
   private nextTokenRaiseAt = 0;
   private nextStaleRecordDeletionAt = 0;
@@ -64,7 +71,7 @@
    * before it has read the shared records, or too soon after its last campaign or its resignation.
    */
   campaignIfVacant(now: number): void {
-    const { lease, records } = this.options;
+    const { lease, records, handoverHistory } = this.options;
     if (
       !lease.isGranted ||
       !records.isReady ||
@@ -74,6 +81,7 @@
     )
       return;
     if (records.hasLeader || lease.hasExpired(now)) return;
+    if (now < this.vacantSince + HANDED_OVER_PAUSE_MS && handoverHistory.hasJustHandedOver()) return;
     this.campaign(0, 'no leader');
   }
 
@@ -99,13 +107,14 @@
   }
 
   /**
-   * Gives up leadership so that another controller is elected, for instance when this controller's own
-   * network seems to be at fault. Afterwards it does not campaign for a while.
+   * Gives up leadership so that another controller is elected, because this controller's own network seems to
+   * be at fault, and records the handover. Afterwards it does not campaign for a while.
    */
   resign(fencingToken: number, reason: string): void {
-    const { leadership, clock } = this.options;
+    const { leadership, clock, handoverHistory } = this.options;
     if (!leadership.leadsUnder(fencingToken)) return;
     const { leaderRecordRevision } = leadership;
+    this.handover = handoverHistory.nextRecord(fencingToken);
     this.resignedUntil = clock.now() + RESIGNATION_PAUSE_MS;
     leadership.stepDown(reason);
     this.deleteLeaderRecord(leaderRecordRevision, () => {});
@@ -153,6 +162,7 @@
   private onLeaderRecordDeleted(): void {
     const { leadership, clock, queue } = this.options;
     leadership.stepDown('leader record gone');
+    this.vacantSince = clock.now();
     // The time of the next campaign is random so that the controllers do not all campaign at the same time.
     this.nextCampaignAt = clock.now() + clock.random() * FIRST_CAMPAIGN_JITTER_MS;
     clock.after(FIRST_CAMPAIGN_CHECK_DELAY_MS, () =>
@@ -186,12 +196,14 @@
     );
   }
 
+  /** Deletes the leader record of the latest term; if that term ended in a handover, records it as well. */
   private deleteLeaderRecord(modRevision: number, onFinished: () => void): void {
-    this.options.store.compareAndSwap(
-      {
-        preconditions: [{ key: LEADER_KEY, modRevision }],
-        operations: [{ type: 'delete', key: LEADER_KEY }],
-      },
+    const { store, leadership } = this.options;
+    const operations: StoreOperation[] = [{ type: 'delete', key: LEADER_KEY }];
+    if (this.handover?.fencingToken === leadership.latestTermToken)
+      operations.push({ type: 'put', key: HANDOVER_KEY, value: handoverRecord.encode(this.handover) });
+    store.compareAndSwap(
+      { preconditions: [{ key: LEADER_KEY, modRevision }], operations },
       URGENCY.lease,
       onFinished,
     );
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -26,6 +26,7 @@
   private currentScheduler: Scheduler | null = null;
   private knownLeader: LeaderRecord = { instanceId: '', nodeName: '', fencingToken: 0 };
   private lastTermToken = 0;
+  private firstTokenOfRun = 0;
   private startedAtMs = 0;
   private ownRecordRevision = 0;
 
@@ -48,6 +49,14 @@
     return this.lastTermToken;
   }
 
+  /**
+   * Fencing token of the first of the terms that followed each other without another leader, up to the latest
+   * term of this process; 0 if it has never led.
+   */
+  get firstToken(): number {
+    return this.firstTokenOfRun;
+  }
+
   /** Start time of the latest term of this process; 0 if it has never led. */
   get latestTermStartedAt(): number {
     return this.startedAtMs;
@@ -74,6 +83,7 @@
     const { fencingToken } = record;
     if (this.currentScheduler && this.currentScheduler.fencingToken >= fencingToken) return;
     if (fencingToken < this.knownLeader.fencingToken || fencingToken <= this.lastTermToken) return;
+    if (this.currentScheduler?.fencingToken !== fencingToken - 1) this.firstTokenOfRun = fencingToken;
     this.lastTermToken = fencingToken;
     this.startedAtMs = this.options.clock.now();
     this.ownRecordRevision = recordRevision;
--- a/src/controller/system-records.ts
+++ b/src/controller/system-records.ts
@@ -1,13 +1,15 @@
 /**
- * Records under `sys/` shared by all controllers: leader, fencing token, nodes, shard owners, machine types.
+ * Records under `sys/` shared by all controllers: leader, fencing token, handover, nodes, shard owners, machine
+ * types.
  */
 
 import type { Clock } from '../model/clock.js';
 import type { KeyValueStore } from '../model/key-value-store.js';
 import type { MachineType } from '../model/machine-type.js';
-import type { LeaderRecord } from '../model/records.js';
+import type { HandoverRecord, LeaderRecord } from '../model/records.js';
 import {
   FENCING_TOKEN_KEY,
+  HANDOVER_KEY,
   LEADER_KEY,
   MACHINE_TYPES_KEY,
   nodeOfKey,
@@ -15,6 +17,7 @@
   teamOfKey,
 } from '../store/keyspace.js';
 import {
+  handoverRecord,
   leaderRecord,
   machineTypesRecord,
   nodeRecord,
@@ -92,6 +95,12 @@
       : { fencingToken: 0, modRevision: 0 };
   }
 
+  /** Returns the last handover by a leader that heard no workers, or null if there was none. */
+  handover(): HandoverRecord | null {
+    const item = this.cache.items.get(HANDOVER_KEY);
+    return item ? handoverRecord.decode(item.value) : null;
+  }
+
   /** Whether a leader has stored machine types. */
   get hasMachineTypes(): boolean {
     return this.cache.items.has(MACHINE_TYPES_KEY);
--- a/src/model/records.ts
+++ b/src/model/records.ts
@@ -24,6 +24,17 @@
   fencingToken: number;
 }
 
+/**
+ * `sys/handover`: written by a leader that gives up its leadership since it hears no workers. The record holds
+ * for the next leader only, the one with the next fencing token.
+ */
+export interface HandoverRecord {
+  /** Fencing token under which the leader led. */
+  fencingToken: number;
+  /** The controllers that handed over one after the other, the writer last. */
+  nodeNames: string[];
+}
+
 /**
  * `sys/team/<team>`: the owner of a team's shard. `fence/<node>`: the instance that last moved the write
  * fence.
--- a/src/scheduler/failure-detector.ts
+++ b/src/scheduler/failure-detector.ts
@@ -69,6 +69,8 @@
   answering: number;
   /** Machines without a recent heartbeat that a peer has redirected. */
   redirected: number;
+  /** Live machines whose workers have reported this leader's fencing token. */
+  confirmed: number;
   /** Machines that a peer has redirected since they were last known to receive responses from here. */
   reachingPeers: number;
   /** Machines that have been unresponsive for longer than allowed: candidates for deletion. */
@@ -80,7 +82,6 @@
 export class FailureDetector {
   /**
    * Start of the time in which this controller is suspected of being at fault itself; 0: it is not suspected.
-   * The time starts anew each time the controller resigns for this reason.
    */
   private selfSuspectedSince = 0;
   private readonly heartbeatIntervalMs: number;
@@ -120,6 +121,7 @@
       live: 0,
       answering: 0,
       redirected: 0,
+      confirmed: 0,
       reachingPeers: 0,
       expired: [],
       zones: new Map(),
@@ -127,6 +129,7 @@
     for (const machine of this.state.machines.values())
       if (!machine.isBeingDeleted && (machine.isUp || machine.allocations.size > 0))
         this.checkMachine(machine, summary);
+    if (summary.confirmed * 2 > summary.machines) this.options.onWorkersHeard();
     this.detectPartitionedZones(summary.zones);
     this.handleUnresponsive(summary);
   }
@@ -141,7 +144,7 @@
     const unresponsiveMs = now - Math.max(lastAliveAt, this.state.startedAt + this.heartbeatIntervalMs);
     if (machine.missedResponses.count === 1) this.probe(machine, now);
     if (unresponsiveMs < this.probeAfterMs) {
-      summary.live++;
+      countLive(machine, summary);
       return;
     }
     const isAnswering = machine.lastHeardAt > lastRenewalAt && now - machine.lastHeardAt < this.probeAfterMs;
@@ -181,7 +184,8 @@
     // waited, one machine after the other would expire, and all of them would be deleted.
     if (
       redirected > Math.max(MAX_INDEPENDENT_FAILURES, live) &&
-      now - this.state.startedAt > this.probeAfterMs + REDIRECT_SETTLING_MS
+      now - this.state.startedAt > this.probeAfterMs + REDIRECT_SETTLING_MS &&
+      this.options.handoverCandidates().total > 0
     ) {
       this.options.resign('workers reach peers only');
       return;
@@ -243,7 +247,7 @@
     if (answering * 2 >= machines) return false;
     // Peers report the workers that reach them. Whether any reach the other controllers is not known.
     const { total, reporting } = this.options.handoverCandidates();
-    return reachingPeers > 0 || reporting < total;
+    return total > 0 && (reachingPeers > 0 || reporting < total);
   }
 
   /**
@@ -304,6 +308,11 @@
     : lastRenewalAt;
 }
 
+function countLive(machine: Machine, summary: LivenessSummary): void {
+  summary.live++;
+  if (machine.hasCurrentToken) summary.confirmed++;
+}
+
 /** Counts a machine in its zone and in the number of machines, and returns the counts of the zone. */
 function countInZone(name: string, summary: LivenessSummary): ZoneCount {
   summary.machines++;
--- a/src/scheduler/scheduler-options.ts
+++ b/src/scheduler/scheduler-options.ts
@@ -11,7 +11,7 @@
 import type { WorkerCommandPort } from '../model/worker-command-port.js';
 import type { ImageLocations } from './image-locations.js';
 
-/** The other live controllers, to which the leader could hand over. */
+/** The other live controllers to which the leader could hand over; none that did so just before it. */
 export interface HandoverCandidates {
   total: number;
   /** Those that report the workers that reach them, and that they redirect to this leader. */
@@ -51,6 +51,8 @@
   recentPeerCount(): number;
   /** The controllers that could lead instead of this one. */
   handoverCandidates(): HandoverCandidates;
+  /** Called when most workers have shown that they receive what this leader sends to them. */
+  onWorkersHeard(): void;
   /**
    * The latest cancellation coverage (the time up to which all stored cancellations have become stops)
    * computed by any leader, in times of this controller's clock; null: none is known.
@@ -66,7 +68,7 @@
    * this period is known here. It is empty if `until` is before `since`.
    */
   knownCancellationPeriod(now: number): { since: number; until: number };
-  /** Gives up leadership, because this controller's own network seems to be at fault. */
+  /** Hands over the leadership, because this controller's own network seems to be at fault. */
   resign(reason: string): void;
   /** Has this leader re-elected under a higher fencing token, which invalidates commands still in flight. */
   raiseFencingToken(reason: string): void;
--- a/src/store/keyspace.ts
+++ b/src/store/keyspace.ts
@@ -7,6 +7,7 @@
  *   end/<job>              the job's final state, written when the records above are deleted
  *   fence/<node>           the write fence of a controller
  *   sys/leader, sys/token  the leader, and the highest fencing token
+ *   sys/handover           the last handover by a leader that heard no workers
  *   sys/node/<node>        a live controller
  *   sys/team/<team>        the shard owner of a team
  *   sys/types              the machine types
@@ -23,6 +24,8 @@
 export const LEADER_KEY = 'sys/leader';
 /** Key of the highest fencing token. */
 export const FENCING_TOKEN_KEY = 'sys/token';
+/** Key of the last handover by a leader that heard no workers. */
+export const HANDOVER_KEY = 'sys/handover';
 /** Key of the machine types as last read by the leader. */
 export const MACHINE_TYPES_KEY = 'sys/types';
 
--- a/src/store/record-codec.ts
+++ b/src/store/record-codec.ts
@@ -8,6 +8,7 @@
 import type {
   CounterRecord,
   FinalRecord,
+  HandoverRecord,
   JobRecord,
   LeaderRecord,
   NodeRecord,
@@ -108,6 +109,12 @@
 /** `sys/token`: the highest fencing token. */
 export const tokenRecord: Codec<TokenRecord> = object<TokenRecord>({ fencingToken: 'n' });
 
+/** `sys/handover`: the last handover by a leader that heard no workers. */
+export const handoverRecord: Codec<HandoverRecord> = object<HandoverRecord>({
+  fencingToken: 'token',
+  nodeNames: 'hosts',
+});
+
 /** `sys/node/<node>`: a live controller. */
 export const nodeRecord: Codec<NodeRecord> = object<NodeRecord>({ instanceId: 'inst', leaseId: 'lease' });
 
--- a/test/forms/controller-records.test.ts
+++ b/test/forms/controller-records.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, test } from 'vitest';
 import { compilePolicy } from '../../src/config/policy.js';
 import { Controller } from '../../src/controller/controller.js';
+import type { ControllerComponents } from '../../src/controller/controller-components.js';
 import type { ApiResponse } from '../../src/model/api-response.js';
 import type { JobSpec } from '../../src/model/job.js';
 import type { MachineType } from '../../src/model/machine-type.js';
@@ -147,6 +148,32 @@
   });
 });
 
+describe('handovers of the leadership', () => {
+  const handover = '{"write":"sys/handover","value":{"token":42,"hosts":';
+
+  /** Lets a controller lead under token 42 and hand over; returns its last transaction. */
+  function handOver(records: Record<string, string>): string | undefined {
+    const { controller, store } = runController({ 'sys/token': '{"n":41}', ...records }, []);
+    const { election } = (controller as unknown as { components: ControllerComponents }).components;
+    election.resign(42, 'a test');
+    return store.transactions.at(-1);
+  }
+
+  test('a leader that resigns deletes its record and names itself', () => {
+    expect(handOver({})).toContain(`"then":[{"drop":"sys/leader"},${handover}["stand-1"]}}]}`);
+  });
+
+  test('it also names the controllers that handed over directly before its term', () => {
+    const records = { 'sys/handover': '{"token":41,"hosts":["stand-3","stand-2"]}' };
+    expect(handOver(records)).toContain(`${handover}["stand-3","stand-2","stand-1"]}}]}`);
+  });
+
+  test('it does not name those of earlier handovers', () => {
+    const records = { 'sys/handover': '{"token":40,"hosts":["stand-3","stand-2"]}' };
+    expect(handOver(records)).toContain(`${handover}["stand-1"]}}]}`);
+  });
+});
+
 describe('records that a controller reads', () => {
   test('fencing token: the next leader takes the next higher one', () => {
     const { store } = runController({ 'sys/token': '{"n":41}' }, []);
--- a/test/lost-machines.test.ts
+++ b/test/lost-machines.test.ts
@@ -8,6 +8,8 @@
 
 /** Time within which the tasks of lost machines must run again: the users' limit for a job that waits. */
 const MAX_RECOVERY_MS = 90_000;
+/** The same while controllers do not reach each other: the users' limit for the start of their largest jobs. */
+const MAX_RECOVERY_WITHOUT_PEERS_MS = 240_000;
 /** Longer than any test: tasks run until they are lost. */
 const RUN_SECONDS = 3600;
 const SEEDS = [1, 2, 3];
@@ -55,6 +57,16 @@
   for (const name of [...workers.keys()]) machines.destroy(name);
 }
 
+/** The highest fencing token that a controller knows. */
+function fencingToken({ nodeNames, controllers }: ClusterSimulation): number {
+  const tokens = nodeNames.map((name) => controllers.get(name)!.controller.status().leader.fencingToken);
+  return Math.max(...tokens);
+}
+
+function othersOf(nodeNames: readonly string[], nodeName: string): string[] {
+  return nodeNames.filter((other) => other !== nodeName);
+}
+
 function cutFrom({ network }: ClusterSimulation, nodeName: string, others: Iterable<string>): void {
   for (const other of others) network.cut(nodeName, other, 'reset');
 }
@@ -80,6 +92,21 @@
   );
 });
 
+describe('all machines are lost at once, and the controllers do not reach each other', () => {
+  const cases = [2, 3, 5].flatMap((controllers) => SEEDS.map((seed) => ({ controllers, seed })));
+
+  // Guards against leaders that hand over again and again, since none knows that the others have heard no
+  // machine either.
+  test.each(cases)('the job runs again ($controllers controllers, seed $seed)', (options) => {
+    const job = startJob(options.seed, makeConfig(options.controllers, LONG_LEASES), 4);
+    const { nodeNames } = job.simulation;
+    for (const nodeName of nodeNames) cutFrom(job.simulation, nodeName, othersOf(nodeNames, nodeName));
+    destroyAllMachines(job.simulation);
+    expectAllTasksRunning(job, MAX_RECOVERY_WITHOUT_PEERS_MS);
+    expect(job.simulation.violations).toEqual([]);
+  });
+});
+
 describe('a leader that is cut off from its workers', () => {
   const cases = [3, 5].flatMap((controllers) =>
     SEEDS.flatMap((seed) => [
@@ -96,8 +123,7 @@
     const leader = leaderOf(simulation);
     const workers = [...simulation.workers.values()];
     cutFrom(simulation, leader, simulation.workers.keys());
-    const peers = simulation.nodeNames.filter((nodeName) => nodeName !== leader);
-    if (options.cutPeers) cutFrom(simulation, leader, peers);
+    if (options.cutPeers) cutFrom(simulation, leader, othersOf(simulation.nodeNames, leader));
     runFor(simulation, 120_000);
     expect(isLeader(simulation, leader)).toBe(false);
     expect(workers.map(({ isAlive, workerEpoch }) => [isAlive, workerEpoch])).toEqual(
@@ -106,6 +132,44 @@
     expect(simulation.taskStarts).toBe(taskCount);
     expect(simulation.violations).toEqual([]);
   });
+
+  // Guards against handovers that go back and forth between controllers that hear no worker, past the one
+  // that would hear them.
+  test.each(SEEDS)('hands over until a controller leads that hears the workers (seed %i)', (seed) => {
+    const { simulation } = startJob(seed, makeConfig(5, LONG_LEASES), 4);
+    const workers = [...simulation.workers.values()];
+    const { nodeNames } = simulation;
+    const connected = othersOf(nodeNames, leaderOf(simulation))[0]!;
+    for (const nodeName of nodeNames) {
+      cutFrom(simulation, nodeName, othersOf(nodeNames, nodeName));
+      if (nodeName !== connected) cutFrom(simulation, nodeName, simulation.workers.keys());
+    }
+    const isLeading = () => isLeader(simulation, connected);
+    expect(runUntil(simulation, { timeoutMs: MAX_RECOVERY_WITHOUT_PEERS_MS, stepMs: 200 }, isLeading)).toBe(
+      true,
+    );
+    runFor(simulation, 60_000);
+    expect(isLeading()).toBe(true);
+    expect(workers.every(({ isAlive }) => isAlive)).toBe(true);
+    expect(simulation.violations).toEqual([]);
+  });
+
+  // Guards against a memory of earlier handovers that outlives the terms in which workers are heard.
+  test.each(SEEDS)('hands over each time that it leads (seed %i)', (seed) => {
+    const { simulation } = startJob(seed, makeConfig(2, LONG_LEASES), 4);
+    const workers = [...simulation.workers.values()];
+    for (let round = 0; round < 3; round++) {
+      const leader = leaderOf(simulation);
+      const others = [...simulation.workers.keys(), ...othersOf(simulation.nodeNames, leader)];
+      cutFrom(simulation, leader, others);
+      runFor(simulation, 120_000);
+      expect(isLeader(simulation, leader)).toBe(false);
+      for (const other of others) simulation.network.heal(leader, other);
+      runFor(simulation, 30_000);
+    }
+    expect(workers.every(({ isAlive }) => isAlive)).toBe(true);
+    expect(simulation.violations).toEqual([]);
+  });
 });
 
 describe('all machines are cut off from all controllers', () => {
@@ -121,3 +185,24 @@
     expect(simulation.violations).toEqual([]);
   });
 });
+
+describe('all machines receive nothing any more', () => {
+  // Guards against leaders that hand over again and again, since workers reach all controllers and hear none.
+  test.each(SEEDS)(
+    'each controller leads at most once until the job runs on other machines (seed %i)',
+    (seed) => {
+      const job = startJob(seed, makeConfig(3, LONG_LEASES), 4);
+      const firstToken = fencingToken(job.simulation);
+      const { network, workers } = job.simulation;
+      const unreachable = new Set(workers.values());
+      for (const { name } of unreachable) network.unreachableInbound.add(name);
+      const areTasksElsewhere = () =>
+        workersOfJob(job.simulation, job.jobId).filter((worker) => !unreachable.has(worker)).length === 4;
+      expect(runUntil(job.simulation, { timeoutMs: MAX_RECOVERY_MS, stepMs: 200 }, areTasksElsewhere)).toBe(
+        true,
+      );
+      expect(fencingToken(job.simulation) - firstToken).toBeLessThanOrEqual(2);
+      expect(job.simulation.violations).toEqual([]);
+    },
+  );
+});
--- a/test/simulation/scheduler-harness.ts
+++ b/test/simulation/scheduler-harness.ts
@@ -42,7 +42,7 @@
   /** Number of peers that the scheduler is told it has recently heard from. */
   readonly recentlyHeardPeers = { count: 0 };
   /** The other controllers that could lead instead. */
-  readonly handoverCandidates = { total: 0, reporting: 0 };
+  readonly handoverCandidates = { total: 2, reporting: 2 };
   /** Jobs that the scheduler knows to be stored as cancelled, regardless of what their owner has read. */
   readonly cancelledJobs = new Set<string>();
   /**
@@ -114,6 +114,7 @@
       knownCancellationPeriod: (at) => ({ since: at, until: Number.NEGATIVE_INFINITY }),
       recentPeerCount: () => this.recentlyHeardPeers.count,
       handoverCandidates: () => this.handoverCandidates,
+      onWorkersHeard: () => {},
       resign: (reason) => this.resignationReasons.push(reason),
       raiseFencingToken: (reason) => this.tokenRaiseReasons.push(reason),
     };
