Failure detector: a leader that is cut off from its only one or two machines hands over

Seen (simulated clusters): a leader that lost its workers, but not the cloud, deleted the one or two machines of its cluster, and their tasks started again elsewhere; with four machines it handed over. Cause: up to two unresponsive machines count as independent failures, also when no other machine shows that the leader's own network works. Fix: if no machine is heard, few machines are judged like many while another controller may hear more, and half of them reaching peers are enough to hand over.

--- a/src/scheduler/failure-detector.ts
+++ b/src/scheduler/failure-detector.ts
@@ -179,14 +179,8 @@
   }
 
   private handleUnresponsive(summary: LivenessSummary): void {
-    const { now, live, redirected, expired } = summary;
-    // More workers reach peers than this controller, so this controller is partitioned from them. If it
-    // waited, one machine after the other would expire, and all of them would be deleted.
-    if (
-      redirected > Math.max(MAX_INDEPENDENT_FAILURES, live) &&
-      now - this.state.startedAt > this.probeAfterMs + REDIRECT_SETTLING_MS &&
-      this.options.handoverCandidates().total > 0
-    ) {
+    const { now, expired } = summary;
+    if (this.doWorkersReachPeersOnly(summary) && this.options.handoverCandidates().total > 0) {
       this.options.resign('workers reach peers only');
       return;
     }
@@ -198,13 +192,26 @@
     this.deleteUnlessKept(expired, now);
   }
 
-  private areMachinesAtFault({ machines, live, redirected }: LivenessSummary): boolean {
+  /**
+   * Whether more workers reach peers than this controller, so that this controller is partitioned from them. If
+   * it waited, one machine after the other would expire, and all of them would be deleted.
+   */
+  private doWorkersReachPeersOnly({ now, machines, live, redirected }: LivenessSummary): boolean {
+    if (now - this.state.startedAt <= this.probeAfterMs + REDIRECT_SETTLING_MS) return false;
+    // Of a few machines, one or two that reach peers are evidence if no other is heard.
+    if (live === 0 && redirected > 0 && redirected * 2 >= machines) return true;
+    return redirected > Math.max(MAX_INDEPENDENT_FAILURES, live);
+  }
+
+  private areMachinesAtFault(summary: LivenessSummary): boolean {
+    const { machines, live, redirected } = summary;
     const overdue = machines - live;
     if (live >= overdue) return true;
     const isMany =
       overdue > Math.max(MAX_INDEPENDENT_FAILURES, machines * this.state.policy.maxUnresponsiveShare);
     // Of many machines, the few that are left once others were deleted are no independent failures.
-    if (!isMany && this.selfSuspectedSince === 0) return true;
+    if (!isMany && this.selfSuspectedSince === 0)
+      return live > 0 || !this.couldAnotherLeaderHearMore(summary);
     // This controller still receives heartbeats, and recently heard peers have redirected hardly any of the
     // unresponsive machines, so the machines are at fault.
     return live > 0 && this.options.recentPeerCount() > 0 && redirected < overdue * MAX_REDIRECTED_SHARE;
--- a/test/lost-machines.test.ts
+++ b/test/lost-machines.test.ts
@@ -108,30 +108,35 @@
 });
 
 describe('a leader that is cut off from its workers', () => {
-  const cases = [3, 5].flatMap((controllers) =>
-    SEEDS.flatMap((seed) => [
-      { controllers, seed, others: 'its workers', cutPeers: false },
-      { controllers, seed, others: 'its workers and its peers', cutPeers: true },
-    ]),
+  const cases = [1, 2, 4].flatMap((machines) =>
+    [3, 5].flatMap((controllers) =>
+      SEEDS.flatMap((seed) => [
+        { machines, controllers, seed, others: 'its workers', cutPeers: false },
+        { machines, controllers, seed, others: 'its workers and its peers', cutPeers: true },
+      ]),
+    ),
   );
 
   // Guards against a leader that keeps the leadership while workers reach another controller: their leases
   // would expire, and it would delete their machines.
-  test.each(cases)('hands over ($controllers controllers, cut off from $others, seed $seed)', (options) => {
-    const config = makeConfig(options.controllers, LONG_LEASES);
-    const { simulation, taskCount } = startJob(options.seed, config, 4);
-    const leader = leaderOf(simulation);
-    const workers = [...simulation.workers.values()];
-    cutFrom(simulation, leader, simulation.workers.keys());
-    if (options.cutPeers) cutFrom(simulation, leader, othersOf(simulation.nodeNames, leader));
-    runFor(simulation, 120_000);
-    expect(isLeader(simulation, leader)).toBe(false);
-    expect(workers.map(({ isAlive, workerEpoch }) => [isAlive, workerEpoch])).toEqual(
-      workers.map(() => [true, 1]),
-    );
-    expect(simulation.taskStarts).toBe(taskCount);
-    expect(simulation.violations).toEqual([]);
-  });
+  test.each(cases)(
+    'hands over ($controllers controllers, $machines machines, cut off from $others, seed $seed)',
+    (options) => {
+      const config = makeConfig(options.controllers, LONG_LEASES);
+      const { simulation, taskCount } = startJob(options.seed, config, options.machines);
+      const leader = leaderOf(simulation);
+      const workers = [...simulation.workers.values()];
+      cutFrom(simulation, leader, simulation.workers.keys());
+      if (options.cutPeers) cutFrom(simulation, leader, othersOf(simulation.nodeNames, leader));
+      runFor(simulation, 120_000);
+      expect(isLeader(simulation, leader)).toBe(false);
+      expect(workers.map(({ isAlive, workerEpoch }) => [isAlive, workerEpoch])).toEqual(
+        workers.map(() => [true, 1]),
+      );
+      expect(simulation.taskStarts).toBe(taskCount);
+      expect(simulation.violations).toEqual([]);
+    },
+  );
 
   // Guards against handovers that go back and forth between controllers that hear no worker, past the one
   // that would hear them.
