Scheduler: a raised fencing token does not restart the time without heartbeats

Seen (simulated clusters, report interval 6 s, lease 34 s): while the leader raised its fencing token every 15 s, the tasks of lost machines were not started again within 90 s, neither of all six machines nor of two of six. Cause: each raise starts a new scheduler, which counts the time without heartbeats from its start, since an earlier leader may have renewed leases until then. The 24 s and 39 s after which machines are given up are longer than the interval of raises. Fix: if the term before was this controller's own and no token lies between, the new scheduler takes over when each worker was last heard, its address, and since when the controller leads (src/scheduler/worker-contacts.ts). Nothing changes after another leader.

--- a/src/controller/controller-components.ts
+++ b/src/controller/controller-components.ts
@@ -10,7 +10,7 @@
 import { cancellationReadIntervalMs } from '../model/cancellation-coverage.js';
 import type { CloudProvider } from '../model/cloud-provider.js';
 import type { KeyValueStore } from '../model/key-value-store.js';
-import type { PolicyInput } from '../model/policy.js';
+import { maxTasksPerRequest } from '../model/policy.js';
 import type { Team } from '../model/team.js';
 import { Scheduler } from '../scheduler/scheduler.js';
 import { ShardOwner } from '../shard/shard-owner.js';
@@ -45,23 +45,6 @@
  */
 const EVICTION_GRACE_MARGIN_SECONDS = 1;
 
-/**
- * Policy input with which `maxTasksPerRequest` is evaluated: an idle cluster, with times that are examples
- * and not those of the settings. It is evaluated only once, at startup, so an expression that depends on the
- * cluster's state always has its value for this input.
- */
-const IDLE_CLUSTER: PolicyInput = {
-  serviceReplicas: 0,
-  serviceCpus: 0,
-  queuedTasks: 0,
-  queuedCpus: 0,
-  runningBatchTasks: 0,
-  machines: 0,
-  heartbeatIntervalSeconds: 3,
-  leaseSeconds: 30,
-  bootSeconds: 30,
-};
-
 /** Callbacks of the event queue. */
 type EventCallbacks = Pick<EventQueueOptions, 'handleEvent' | 'onBatchEnd'>;
 
@@ -196,13 +179,13 @@
       instanceId,
       clock,
       log,
-      createScheduler: (fencingToken) => this.createScheduler(fencingToken),
+      createScheduler: (fencingToken, previous) => this.createScheduler(fencingToken, previous),
       onLeaderKnown: (fencingToken) => this.shardOwner.setLeader(fencingToken),
       onTermStarted: (scheduler) => this.onTermStarted(scheduler),
     });
   }
 
-  private createScheduler(fencingToken: number): Scheduler {
+  private createScheduler(fencingToken: number, previous: Scheduler | null): Scheduler {
     const { options, leadership, cancellationCoordinator } = this;
     const { clock } = options;
     return new Scheduler({
@@ -214,6 +197,7 @@
       cloudCallsPerSecond: options.cloudCallsPerSecond,
       imageLocations: this.imageReplication.locations,
       objectives: options.objectives,
+      previousContacts: previous?.contacts ?? null,
       // Fencing tokens start at 1, so this token is that of the first leader that the cluster has ever had.
       isFirstLeader: fencingToken === 1,
       clock,
@@ -324,7 +308,7 @@
       maxValueKb: storeLimits.maxValueKb,
       maxTransactionOperations: storeLimits.maxTransactionOperations,
       writesPerSecond: storeLimits.writesPerSecond,
-      maxTasksPerRequest: Math.max(1, Math.round(options.policy(IDLE_CLUSTER).maxTasksPerRequest)),
+      maxTasksPerRequest: maxTasksPerRequest(options.policy),
       evictionGraceMarginSeconds: EVICTION_GRACE_MARGIN_SECONDS,
       objectives: options.objectives,
       openJobItems: () => openJobs.items,
--- a/src/controller/leadership.ts
+++ b/src/controller/leadership.ts
@@ -10,7 +10,8 @@
   instanceId: string;
   clock: Clock;
   log: Logger;
-  createScheduler(fencingToken: number): Scheduler;
+  /** `previous`: the scheduler of the term before, if this controller led it. */
+  createScheduler(fencingToken: number, previous: Scheduler | null): Scheduler;
   /** Called when a leader becomes known whose fencing token is at least as high as any known before. */
   onLeaderKnown(fencingToken: number): void;
   /** Called when a term of this controller has started and the controller is recorded as the known leader. */
@@ -83,12 +84,14 @@
     const { fencingToken } = record;
     if (this.currentScheduler && this.currentScheduler.fencingToken >= fencingToken) return;
     if (fencingToken < this.knownLeader.fencingToken || fencingToken <= this.lastTermToken) return;
-    if (this.currentScheduler?.fencingToken !== fencingToken - 1) this.firstTokenOfRun = fencingToken;
+    // Without another leader in between: this one has raised its fencing token.
+    const previous = this.currentScheduler?.fencingToken === fencingToken - 1 ? this.currentScheduler : null;
+    if (!previous) this.firstTokenOfRun = fencingToken;
     this.lastTermToken = fencingToken;
     this.startedAtMs = this.options.clock.now();
     this.ownRecordRevision = recordRevision;
     this.options.log.info({ fencingToken, reason }, 'leading');
-    const scheduler = this.options.createScheduler(fencingToken);
+    const scheduler = this.options.createScheduler(fencingToken, previous);
     this.currentScheduler = scheduler;
     this.setLeader(record);
     this.options.onTermStarted(scheduler);
--- a/src/model/policy.ts
+++ b/src/model/policy.ts
@@ -72,7 +72,8 @@
   /**
    * Share of the machines that may be unresponsive at once before the controller suspects a fault of its own.
    * It does so only if the unresponsive machines also outnumber the others and a small fixed number, and
-   * peers cannot confirm that the machines are at fault.
+   * peers cannot confirm that the machines are at fault. If no machine at all is heard, the controller also
+   * suspects itself for fewer machines, as long as another controller may hear more.
    */
   maxUnresponsiveShare: number;
   /**
@@ -92,3 +93,25 @@
 
 /** Evaluates all policy expressions. */
 export type PolicyFn = (input: PolicyInput) => Policy;
+
+/**
+ * Policy input with which `maxTasksPerRequest` is evaluated: an idle cluster, with times that are examples
+ * and not those of the settings. It is evaluated only once, at startup, so an expression that depends on the
+ * cluster's state always has its value for this input.
+ */
+const IDLE_CLUSTER: PolicyInput = {
+  serviceReplicas: 0,
+  serviceCpus: 0,
+  queuedTasks: 0,
+  queuedCpus: 0,
+  runningBatchTasks: 0,
+  machines: 0,
+  heartbeatIntervalSeconds: 3,
+  leaseSeconds: 30,
+  bootSeconds: 30,
+};
+
+/** Returns the maximum number of tasks of one job per resource request. */
+export function maxTasksPerRequest(policy: PolicyFn): number {
+  return Math.max(1, Math.round(policy(IDLE_CLUSTER).maxTasksPerRequest));
+}
--- a/src/scheduler/cluster-state.ts
+++ b/src/scheduler/cluster-state.ts
@@ -24,6 +24,7 @@
 import { OpenGrants } from './state/open-grants.js';
 import { requestFromPlacement } from './state/request-from-placement.js';
 import { type ShardOwnerRef, ShardOwners } from './state/shard-owners.js';
+import { restoreContact } from './worker-contacts.js';
 
 /** A resource request, and the instance that sent it. */
 export interface OwnerRequest {
@@ -85,6 +86,8 @@
   /** Offers that are not rented for now, because the cloud had too few machines of them. */
   readonly rentalBackoff = new RentalBackoff(RENTAL_BACKOFF_MS, MAX_RENTAL_BACKOFF_MS);
   readonly startedAt: number;
+  /** When the first term began of those that this controller has led without another leader in between. */
+  readonly leaderSince: number;
   /** Resource needs of known services; see {@link recordServiceProfile}. */
   readonly serviceProfiles = new Map<string, { request: ResourceRequest; recordedAt: number }>();
   /** Whether something has changed since the last placement pass. */
@@ -96,6 +99,7 @@
   constructor(readonly options: SchedulerOptions) {
     this.fencingToken = options.fencingToken;
     this.startedAt = options.clock.now();
+    this.leaderSince = options.previousContacts?.leaderSince ?? this.startedAt;
     this.shardOwners = new ShardOwners(options.teams);
     this.fleetTotals = new FleetTotals(options, this.machines);
     this.capacities = new MachineCapacities(options.workerTiming.heartbeatIntervalSeconds, this);
@@ -240,6 +244,8 @@
     let machine = this.machines.get(name);
     if (!machine) {
       machine = createMachine(name, this.options.clock.now());
+      const contact = this.options.previousContacts?.byMachine.get(name);
+      if (contact) restoreContact(machine, contact);
       for (const [image, sizeGb] of this.options.imageLocations.imagesOf(name) ?? [])
         machine.images.set(image, sizeGb);
       this.machines.set(name, machine);
--- a/src/scheduler/failure-detector.ts
+++ b/src/scheduler/failure-detector.ts
@@ -141,7 +141,7 @@
     const lastRenewalAt = lastPossibleLeaseRenewalAt(machine);
     const lastAliveAt = lastTwoWayContactAt(machine);
     // Workers need some time to find a new leader.
-    const unresponsiveMs = now - Math.max(lastAliveAt, this.state.startedAt + this.heartbeatIntervalMs);
+    const unresponsiveMs = now - Math.max(lastAliveAt, this.state.leaderSince + this.heartbeatIntervalMs);
     if (machine.missedResponses.count === 1) this.probe(machine, now);
     if (unresponsiveMs < this.probeAfterMs) {
       countLive(machine, summary);
@@ -197,7 +197,7 @@
    * it waited, one machine after the other would expire, and all of them would be deleted.
    */
   private doWorkersReachPeersOnly({ now, machines, live, redirected }: LivenessSummary): boolean {
-    if (now - this.state.startedAt <= this.probeAfterMs + REDIRECT_SETTLING_MS) return false;
+    if (now - this.state.leaderSince <= this.probeAfterMs + REDIRECT_SETTLING_MS) return false;
     // Of a few machines, one or two that reach peers are evidence if no other is heard.
     if (live === 0 && redirected > 0 && redirected * 2 >= machines) return true;
     return redirected > Math.max(MAX_INDEPENDENT_FAILURES, live);
@@ -259,10 +259,10 @@
 
   /**
    * When a machine's worker has certainly ended its tasks. An earlier leader may have renewed the lease until
-   * this one's term began.
+   * this controller became the leader.
    */
   private leaseOverAt(machine: Machine): number {
-    const lastAliveAt = Math.max(lastPossibleLeaseRenewalAt(machine), this.state.startedAt);
+    const lastAliveAt = Math.max(lastPossibleLeaseRenewalAt(machine), this.state.leaderSince);
     return lastAliveAt + this.leaseMs + LEASE_EXPIRY_GRACE_MS;
   }
 
@@ -278,7 +278,7 @@
         redirected,
         otherControllers: total,
         reportingControllers: reporting,
-        termAgeMs: Math.round(now - this.state.startedAt),
+        leaderForMs: Math.round(now - this.state.leaderSince),
         firstLeaseOverInMs: Math.round(firstLeaseOverAt - now),
       },
       'many machines unresponsive at once: suspecting this controller',
--- a/src/scheduler/scheduler-options.ts
+++ b/src/scheduler/scheduler-options.ts
@@ -10,6 +10,7 @@
 import type { ServiceLevelObjective, Team } from '../model/team.js';
 import type { WorkerCommandPort } from '../model/worker-command-port.js';
 import type { ImageLocations } from './image-locations.js';
+import type { WorkerContacts } from './worker-contacts.js';
 
 /** The other live controllers to which the leader could hand over; none that did so just before it. */
 export interface HandoverCandidates {
@@ -31,6 +32,8 @@
   cloudCallsPerSecond: number;
   imageLocations: ImageLocations;
   objectives: ServiceLevelObjective[];
+  /** Contacts of the term before, if this controller led it and raised its fencing token; null otherwise. */
+  previousContacts: WorkerContacts | null;
   /** Whether this is the cluster's first leader, so that no earlier one's machines can appear later. */
   isFirstLeader: boolean;
   clock: Clock;
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -18,6 +18,7 @@
 import { ShardOwnerHandler } from './owners/shard-owner-handler.js';
 import { PlacementEngine } from './placement/placement-engine.js';
 import type { SchedulerOptions } from './scheduler-options.js';
+import { type WorkerContacts, workerContacts } from './worker-contacts.js';
 import { DirectCommands } from './workers/direct-commands.js';
 import { type HeartbeatCommands, HeartbeatHandler } from './workers/heartbeat-handler.js';
 import { Reconciler } from './workers/reconciler.js';
@@ -91,6 +92,11 @@
     return this.state.fencingToken;
   }
 
+  /** The contacts with the workers so far, for the next term if this controller leads it as well. */
+  get contacts(): WorkerContacts {
+    return workerContacts(this.state.machines.values(), this.state.leaderSince);
+  }
+
   /** The policy's values as of the last tick. */
   get policy(): Policy {
     return this.state.policy;
--- a/test/cancellation.test.ts
+++ b/test/cancellation.test.ts
@@ -7,7 +7,7 @@
 import type { ShardOwnerMessage } from '../src/model/shard-messages.js';
 import { ShardOwner } from '../src/shard/shard-owner.js';
 import { jobRecord } from '../src/store/record-codec.js';
-import { isLeader, leaderOf, runFor, workersOfJob } from './simulation/cluster-queries.js';
+import { isLeader, leaderOf, raiseFencingToken, runFor, workersOfJob } from './simulation/cluster-queries.js';
 import { ClusterSimulation } from './simulation/cluster-simulation.js';
 import { makeJobSpec } from './simulation/job-spec.js';
 import { SchedulerHarness, taskStatus } from './simulation/scheduler-harness.js';
@@ -239,15 +239,7 @@
   runFor(simulation, 100);
   cancelAt(simulation, owner, id);
   const raiseToken = () => {
-    const controller = simulation.controllers.get(leader)!.controller as unknown as {
-      components: {
-        leadership: { latestTermToken: number };
-        election: { nextTokenRaiseAt: number; raiseFencingToken(token: number, reason: string): void };
-      };
-    };
-    const { leadership, election } = controller.components;
-    election.nextTokenRaiseAt = 0;
-    election.raiseFencingToken(leadership.latestTermToken, 'a test');
+    raiseFencingToken(simulation, leader);
     simulation.simulator.scheduleAfter(1500, raiseToken);
   };
   raiseToken();
--- a/test/lost-machines.test.ts
+++ b/test/lost-machines.test.ts
@@ -2,7 +2,14 @@
 
 import { describe, expect, test } from 'vitest';
 import { CLUSTER_CONFIG, type ClusterConfig } from './simulation/cluster-config.js';
-import { isLeader, leaderOf, runFor, runUntil, workersOfJob } from './simulation/cluster-queries.js';
+import {
+  isLeader,
+  leaderOf,
+  raiseFencingToken,
+  runFor,
+  runUntil,
+  workersOfJob,
+} from './simulation/cluster-queries.js';
 import { ClusterSimulation } from './simulation/cluster-simulation.js';
 import { makeJobSpec } from './simulation/job-spec.js';
 
@@ -12,6 +19,8 @@
 const MAX_RECOVERY_WITHOUT_PEERS_MS = 240_000;
 /** Longer than any test: tasks run until they are lost. */
 const RUN_SECONDS = 3600;
+/** The shortest interval at which a leader raises its fencing token. */
+const RAISE_INTERVAL_MS = 15_000;
 const SEEDS = [1, 2, 3];
 const SHORT_LEASES = { heartbeatIntervalSeconds: 2, leaseSeconds: 20, cancellationSeconds: 40 };
 const SLOW_HEARTBEATS = { heartbeatIntervalSeconds: 10, leaseSeconds: 60, cancellationSeconds: 120 };
@@ -177,6 +186,27 @@
   });
 });
 
+describe('the leader raises its fencing token again and again', () => {
+  const cases = SEEDS.flatMap((seed) => [2, 6].map((lost) => ({ seed, lost })));
+
+  // Guards against a raised token that makes the leader count the time without heartbeats from the start.
+  test.each(cases)('the tasks of $lost of 6 lost machines run again (seed $seed)', ({ seed, lost }) => {
+    const job = startJob(seed, makeConfig(3, LONG_LEASES), 6);
+    const { simulation } = job;
+    const leader = leaderOf(simulation);
+    const raise = () => {
+      raiseFencingToken(simulation, leader);
+      simulation.simulator.scheduleAfter(RAISE_INTERVAL_MS, raise);
+    };
+    raise();
+    for (const { name } of workersOfJob(simulation, job.jobId).slice(0, lost))
+      simulation.machines.destroy(name);
+    expectAllTasksRunning(job, MAX_RECOVERY_MS);
+    expect(simulation.taskStarts).toBe(job.taskCount + lost);
+    expect(simulation.violations).toEqual([]);
+  });
+});
+
 describe('all machines are cut off from all controllers', () => {
   // Guards against a leader that, having given up some of the machines, takes the few that are left for
   // independent failures and deletes them while their workers may still hold their leases.
--- a/test/simulation/cluster-queries.ts
+++ b/test/simulation/cluster-queries.ts
@@ -1,5 +1,6 @@
-/** Helpers for tests that query a simulated cluster or advance its time. */
+/** Helpers for tests that query a simulated cluster, advance its time or raise its fencing token. */
 
+import type { ControllerComponents } from '../../src/controller/controller-components.js';
 import type { ClusterSimulation } from './cluster-simulation.js';
 import type { FakeWorker } from './fake-worker.js';
 
@@ -13,6 +14,14 @@
   return simulation.nodeNames.find((nodeName) => isLeader(simulation, nodeName)) ?? '';
 }
 
+/** Has the leader on a node elected again under a higher fencing token, however recent the last raise is. */
+export function raiseFencingToken(simulation: ClusterSimulation, nodeName: string): void {
+  const { controller } = simulation.controllers.get(nodeName)!;
+  const { leadership, election } = (controller as unknown as { components: ControllerComponents }).components;
+  (election as unknown as { nextTokenRaiseAt: number }).nextTokenRaiseAt = 0;
+  election.raiseFencingToken(leadership.latestTermToken, 'a test');
+}
+
 /** Teams whose shards a node owns. */
 export function teamsOwnedBy(simulation: ClusterSimulation, nodeName: string): string[] {
   return simulation.controllers.get(nodeName)!.controller.status().teams as string[];
--- a/test/simulation/scheduler-harness.ts
+++ b/test/simulation/scheduler-harness.ts
@@ -90,6 +90,7 @@
       cloudCallsPerSecond: 5,
       imageLocations: new ImageLocations(),
       objectives: this.objectives,
+      previousContacts: null,
       isFirstLeader: true,
       clock: {
         now: () => this.now,
