Idle machines: a raised fencing token does not keep machines that never boot

Seen (simulated clusters): while the leader raised its fencing token every 15 s, a machine that never came up was never returned. Where the cloud had no other machines, a job within its quota waited for it without end. Cause: such machines are returned once the leader has led for four heartbeat intervals (24 s at 6 s), counted from the start of the term; and the time since a machine became known began anew with each term. Fix: the first counts from the start of the leadership; the second is among the contacts that outlive a raised token.

--- a/src/scheduler/fleet/idle-machines.ts
+++ b/src/scheduler/fleet/idle-machines.ts
@@ -98,7 +98,7 @@
     if (machine.isListedAsRunning && now - machine.lastHeardAt < leaseSeconds * 1000) return;
     if (
       now - machine.rentedAt > bootSeconds * 1000 * this.state.policy.maxBootTimeFactor &&
-      now - this.state.startedAt > heartbeatIntervalSeconds * (AWAITED_HEARTBEATS * 1000) &&
+      now - this.state.leaderSince > heartbeatIntervalSeconds * (AWAITED_HEARTBEATS * 1000) &&
       machine.allocations.size === 0 &&
       now - machine.lastHeardAt > RECENTLY_HEARD_MS
     )
--- a/src/scheduler/worker-contacts.ts
+++ b/src/scheduler/worker-contacts.ts
@@ -5,7 +5,10 @@
 
 import { lastPossibleLeaseRenewalAt, type Machine } from './machine.js';
 
-/** The last contact with one worker. Times in ms on this controller's clock. */
+/**
+ * The last contact with one worker, as in {@link Machine}; `lastHeartbeatAt` is minus infinity before the first
+ * heartbeat.
+ */
 export interface WorkerContact {
   address: string;
   lastHeardAt: number;
@@ -16,22 +19,19 @@
 export interface WorkerContacts {
   /** When the first term began of those that this controller has led without another leader in between. */
   leaderSince: number;
-  /** Contacts with the workers that were heard, by machine. */
+  /** Contacts with the workers, by machine. */
   byMachine: ReadonlyMap<string, WorkerContact>;
 }
 
 /** Returns the contacts with the workers of the given machines. */
 export function workerContacts(machines: Iterable<Machine>, leaderSince: number): WorkerContacts {
   const byMachine = new Map<string, WorkerContact>();
-  for (const machine of machines) {
-    const lastHeartbeatAt = lastPossibleLeaseRenewalAt(machine);
-    if (Number.isFinite(lastHeartbeatAt))
-      byMachine.set(machine.name, {
-        address: machine.address,
-        lastHeardAt: machine.lastHeardAt,
-        lastHeartbeatAt,
-      });
-  }
+  for (const machine of machines)
+    byMachine.set(machine.name, {
+      address: machine.address,
+      lastHeardAt: machine.lastHeardAt,
+      lastHeartbeatAt: lastPossibleLeaseRenewalAt(machine),
+    });
   return { leaderSince, byMachine };
 }
 
--- a/test/lost-machines.test.ts
+++ b/test/lost-machines.test.ts
@@ -40,6 +40,15 @@
 /** Starts a cluster whose only job has each task on a machine of its own. */
 function startJob(seed: number, config: ClusterConfig, taskCount: number): RunningJob {
   const simulation = new ClusterSimulation(seed, config);
+  const job = submitJob(simulation, taskCount);
+  expectAllTasksRunning(job, 120_000);
+  // Machines that never boot are returned meanwhile.
+  runFor(simulation, 40_000);
+  return job;
+}
+
+/** Submits a job each of whose tasks takes a machine of its own and runs until it is lost. */
+function submitJob(simulation: ClusterSimulation, taskCount: number): RunningJob {
   simulation.bootsFaultyMachines = false;
   simulation.runDurationMs = () => RUN_SECONDS * 1000;
   const spec = makeJobSpec(simulation, {
@@ -50,11 +59,7 @@
     estimatedRunSeconds: RUN_SECONDS,
   });
   simulation.users.submitJob(spec);
-  const job = { simulation, jobId: spec.id, taskCount };
-  expectAllTasksRunning(job, 120_000);
-  // Machines that never boot are returned meanwhile.
-  runFor(simulation, 40_000);
-  return job;
+  return { simulation, jobId: spec.id, taskCount };
 }
 
 function expectAllTasksRunning({ simulation, jobId, taskCount }: RunningJob, withinMs: number): void {
@@ -193,20 +198,32 @@
   test.each(cases)('the tasks of $lost of 6 lost machines run again (seed $seed)', ({ seed, lost }) => {
     const job = startJob(seed, makeConfig(3, LONG_LEASES), 6);
     const { simulation } = job;
-    const leader = leaderOf(simulation);
-    const raise = () => {
-      raiseFencingToken(simulation, leader);
-      simulation.simulator.scheduleAfter(RAISE_INTERVAL_MS, raise);
-    };
-    raise();
+    raiseFencingTokenRepeatedly(simulation);
     for (const { name } of workersOfJob(simulation, job.jobId).slice(0, lost))
       simulation.machines.destroy(name);
     expectAllTasksRunning(job, MAX_RECOVERY_MS);
     expect(simulation.taskStarts).toBe(job.taskCount + lost);
     expect(simulation.violations).toEqual([]);
   });
+
+  // Guards against machines that never boot and are never returned, while the cloud has no others.
+  test.each([1, 2, 3, 4, 5, 6])('machines that do not boot are replaced (seed %i)', (seed) => {
+    const config = { ...makeConfig(3, LONG_LEASES), machineCapacity: 10 };
+    const simulation = new ClusterSimulation(seed, config);
+    runFor(simulation, 5000);
+    raiseFencingTokenRepeatedly(simulation);
+    const job = submitJob(simulation, config.machineCapacity);
+    expectAllTasksRunning(job, MAX_RECOVERY_MS);
+    expect(simulation.violations).toEqual([]);
+  });
 });
 
+/** Has the leader raise its fencing token now and after each `RAISE_INTERVAL_MS`. */
+function raiseFencingTokenRepeatedly(simulation: ClusterSimulation): void {
+  raiseFencingToken(simulation, leaderOf(simulation));
+  simulation.simulator.scheduleAfter(RAISE_INTERVAL_MS, () => raiseFencingTokenRepeatedly(simulation));
+}
+
 describe('all machines are cut off from all controllers', () => {
   // Guards against a leader that, having given up some of the machines, takes the few that are left for
   // independent failures and deletes them while their workers may still hold their leases.
