Failure detector: short heartbeat intervals leave time for evidence before machines are deleted

Seen (simulated clusters, heartbeats every 1 and 2 s): a leader cut off from its workers and its peers still deleted the one or two machines of its cluster instead of handing over, and in one case the first of four. Cause: silent_s (3 and 6 s) was over before evidence could arrive. A peer counted as reporting for 8 s after its last message; a worker needs up to one and a quarter intervals and 6 s to turn to a peer; and the first machine that was due counted as an independent failure while the heartbeats of the others were not due yet. Fix: peers count as reporting for 5 s; that no worker reaches them counts only once workers have had time to turn to them; a machine is an independent failure only if another one was heard when it was overdue already. The suspicion keeps the number of machines with which it began, so that a short one of few machines does not make the leader wait for leases.

--- a/src/controller/peer-registry.ts
+++ b/src/controller/peer-registry.ts
@@ -30,9 +30,10 @@
 const RECENTLY_HEARD_MS = 3000;
 /**
  * A peer that was heard within this time still reports to the leader which workers reach it. Longer than
- * `RECENTLY_HEARD_MS`, so that a short pause of a peer does not make the leader hand over.
+ * `RECENTLY_HEARD_MS`, so that a short pause of a peer does not make the leader hand over; shorter than the time
+ * that workers need to turn to a peer.
  */
-const REPORTS_WITHIN_MS = 8000;
+const REPORTS_WITHIN_MS = 5000;
 
 /**
  * Keeps the state reported by the latest process of each peer, and filters out late and repeated messages.
--- a/src/scheduler/failure-detector.ts
+++ b/src/scheduler/failure-detector.ts
@@ -6,13 +6,21 @@
  */
 
 import type { ClusterState } from './cluster-state.js';
-import { LEASE_EXPIRY_GRACE_MS, LivenessCheck, type LivenessSummary } from './liveness-check.js';
+import {
+  LEASE_EXPIRY_GRACE_MS,
+  LivenessCheck,
+  type LivenessSummary,
+  lastTwoWayContactAt,
+} from './liveness-check.js';
 import { lastPossibleLeaseRenewalAt, type Machine } from './machine.js';
 import { findPartitionedZones } from './partitioned-zones.js';
 import type { FreeCapacity } from './placement/free-capacity.js';
 import type { SchedulerOptions } from './scheduler-options.js';
 
-/** Time that workers need, after a change of leader, to be redirected to the new one. */
+/**
+ * Time that a worker needs to turn to another controller after a missed response: to be redirected to a new
+ * leader, or to show that it reaches a peer only.
+ */
 const REDIRECT_SETTLING_MS = 6000;
 /**
  * Number of machines that may be unresponsive or redirected at once without this controller being suspected.
@@ -33,12 +41,16 @@
   shouldKeepUnreachable(machine: Machine, capacities: FreeCapacity[], now: number): boolean;
 }
 
+/** The suspicion that this controller itself is at fault. */
+interface SelfSuspicion {
+  since: number;
+  /** Number of machines that were overdue at its start. */
+  readonly overdue: number;
+}
+
 /** Decides whether machines, zones or this controller itself are at fault. Times in ms. */
 export class FailureDetector {
-  /**
-   * Start of the time in which this controller is suspected of being at fault itself; 0: it is not suspected.
-   */
-  private selfSuspectedSince = 0;
+  private selfSuspicion: SelfSuspicion | null = null;
   private readonly liveness: LivenessCheck;
   private readonly heartbeatIntervalMs: number;
   private readonly leaseMs: number;
@@ -86,8 +98,11 @@
       this.suspectSelf(summary);
       return;
     }
-    this.selfSuspectedSince = 0;
-    this.deleteUnlessKept(expired, now);
+    this.selfSuspicion = null;
+    this.deleteUnlessKept(
+      expired.filter((machine) => summary.live === 0 || this.wereOthersHeardSince(machine, summary)),
+      now,
+    );
   }
 
   /**
@@ -95,7 +110,7 @@
    * it waited, one machine after the other would expire, and all of them would be deleted.
    */
   private doWorkersReachPeersOnly({ now, machines, live, redirected }: LivenessSummary): boolean {
-    if (now - this.state.leaderSince <= this.liveness.probeAfterMs + REDIRECT_SETTLING_MS) return false;
+    if (!this.haveWorkersTurnedToPeers(now, this.state.leaderSince)) return false;
     // Of a few machines, one or two that reach peers are evidence if no other is heard.
     if (live === 0 && redirected > 0 && redirected * 2 >= machines) return true;
     return redirected > Math.max(MAX_INDEPENDENT_FAILURES, live);
@@ -105,16 +120,24 @@
     const { machines, live, redirected } = summary;
     const overdue = machines - live;
     if (live >= overdue) return true;
-    const isMany =
-      overdue > Math.max(MAX_INDEPENDENT_FAILURES, machines * this.state.policy.maxUnresponsiveShare);
     // Of many machines, the few that are left once others were deleted are no independent failures.
-    if (!isMany && this.selfSuspectedSince === 0)
-      return live > 0 || !this.couldAnotherLeaderHearMore(summary);
+    const isMany =
+      Math.max(overdue, this.selfSuspicion?.overdue ?? 0) >
+      Math.max(MAX_INDEPENDENT_FAILURES, machines * this.state.policy.maxUnresponsiveShare);
+    if (!isMany) return live > 0 || this.doPeersConfirmSilence(summary);
     // This controller still receives heartbeats, and recently heard peers have redirected hardly any of the
     // unresponsive machines, so the machines are at fault.
     return live > 0 && this.options.recentPeerCount() > 0 && redirected < overdue * MAX_REDIRECTED_SHARE;
   }
 
+  /**
+   * Whether another machine was heard when this one was overdue already. Before that, all may be silent: the
+   * heartbeats of the others may only be due later.
+   */
+  private wereOthersHeardSince(machine: Machine, { lastContactAt }: LivenessSummary): boolean {
+    return lastContactAt > lastTwoWayContactAt(machine) + this.liveness.probeAfterMs;
+  }
+
   private deleteUnlessKept(machines: readonly Machine[], now: number): void {
     if (machines.length === 0) return;
     const capacities = this.state.preemptibleCapacities(now);
@@ -125,15 +148,15 @@
 
   private suspectSelf(summary: LivenessSummary): void {
     const { now, expired } = summary;
-    if (this.selfSuspectedSince === 0) {
-      this.selfSuspectedSince = now;
+    if (!this.selfSuspicion) {
+      this.selfSuspicion = { since: now, overdue: summary.machines - summary.live };
       this.logSuspicion(summary);
     }
     if (
-      now - this.selfSuspectedSince > this.heartbeatIntervalMs &&
+      now - this.selfSuspicion.since > this.heartbeatIntervalMs &&
       this.couldAnotherLeaderHearMore(summary)
     ) {
-      this.selfSuspectedSince = now;
+      this.selfSuspicion.since = now;
       this.options.resign('no heartbeats from any machine');
       return;
     }
@@ -142,6 +165,18 @@
       if (now > this.leaseOverAt(machine)) this.actions.deleteMachine(machine, 'unresponsive past its lease');
   }
 
+  /** Whether no machine reaches any other controller either, after enough time to turn to one. */
+  private doPeersConfirmSilence(summary: LivenessSummary): boolean {
+    return (
+      this.haveWorkersTurnedToPeers(summary.now, summary.lastContactAt) &&
+      !this.couldAnotherLeaderHearMore(summary)
+    );
+  }
+
+  private haveWorkersTurnedToPeers(now: number, since: number): boolean {
+    return now - since > this.liveness.probeAfterMs + REDIRECT_SETTLING_MS;
+  }
+
   /**
    * Whether to hand over because no heartbeats arrive. If another leader would receive none either, handing
    * over only delays the end of the unresponsive machines: each leader waits for their leases anew.
--- a/src/scheduler/liveness-check.ts
+++ b/src/scheduler/liveness-check.ts
@@ -44,6 +44,8 @@
   confirmed: number;
   /** Machines that a peer has redirected since they were last known to receive responses from here. */
   reachingPeers: number;
+  /** When a worker was last known to receive responses; not before workers could find this leader. */
+  lastContactAt: number;
   /** Machines that have been unresponsive for longer than allowed: candidates for deletion. */
   readonly expired: Machine[];
   readonly zones: Map<string, ZoneCount>;
@@ -77,6 +79,7 @@
       redirected: 0,
       confirmed: 0,
       reachingPeers: 0,
+      lastContactAt: 0,
       expired: [],
       zones: new Map(),
     };
@@ -93,7 +96,9 @@
     const lastRenewalAt = lastPossibleLeaseRenewalAt(machine);
     const lastAliveAt = lastTwoWayContactAt(machine);
     // Workers need some time to find a new leader.
-    const unresponsiveMs = now - Math.max(lastAliveAt, this.state.leaderSince + this.heartbeatIntervalMs);
+    const lastContactAt = Math.max(lastAliveAt, this.state.leaderSince + this.heartbeatIntervalMs);
+    const unresponsiveMs = now - lastContactAt;
+    summary.lastContactAt = Math.max(summary.lastContactAt, lastContactAt);
     if (machine.missedResponses.count === 1) this.probe(machine, now);
     if (unresponsiveMs < this.probeAfterMs) {
       countLive(machine, summary);
@@ -135,7 +140,7 @@
  * When a machine's worker was last known to be alive and to receive responses: one that does not receive them
  * counts as unresponsive from the first missed response on.
  */
-function lastTwoWayContactAt(machine: Machine): number {
+export function lastTwoWayContactAt(machine: Machine): number {
   const lastRenewalAt = lastPossibleLeaseRenewalAt(machine);
   return machine.missedResponses.count >= MISSED_RESPONSES_THRESHOLD
     ? Math.min(lastRenewalAt, machine.missedResponses.since)
--- a/test/lost-machines.test.ts
+++ b/test/lost-machines.test.ts
@@ -23,6 +23,7 @@
 const RAISE_INTERVAL_MS = 15_000;
 const SEEDS = [1, 2, 3];
 const SHORT_LEASES = { heartbeatIntervalSeconds: 2, leaseSeconds: 20, cancellationSeconds: 40 };
+const FAST_HEARTBEATS = { heartbeatIntervalSeconds: 1, leaseSeconds: 20, cancellationSeconds: 40 };
 const SLOW_HEARTBEATS = { heartbeatIntervalSeconds: 10, leaseSeconds: 60, cancellationSeconds: 120 };
 const LONG_LEASES = { heartbeatIntervalSeconds: 6, leaseSeconds: 34, cancellationSeconds: 64 };
 
@@ -130,13 +131,14 @@
       ]),
     ),
   );
+  const timings = [FAST_HEARTBEATS, SHORT_LEASES, LONG_LEASES];
 
   // Guards against a leader that keeps the leadership while workers reach another controller: their leases
   // would expire, and it would delete their machines.
-  test.each(cases)(
-    'hands over ($controllers controllers, $machines machines, cut off from $others, seed $seed)',
+  test.each(timings.flatMap((timing) => cases.map((options) => ({ ...options, timing }))))(
+    'hands over ($controllers controllers, $machines machines, heartbeats every $timing.heartbeatIntervalSeconds s, cut off from $others, seed $seed)',
     (options) => {
-      const config = makeConfig(options.controllers, LONG_LEASES);
+      const config = makeConfig(options.controllers, options.timing);
       const { simulation, taskCount } = startJob(options.seed, config, options.machines);
       const leader = leaderOf(simulation);
       const workers = [...simulation.workers.values()];
