Election: earlier handovers are forgotten once the machines of that time have been given up

Seen (simulated clusters, two controllers): both were cut off from the workers, the first handed over, and then reached them again. The second stayed the leader for good, as the first was named in sys/handover; without that record it had handed back. Cause: the record counted until most workers were heard, which this leader never did. Fix: it is also forgotten once the leader has led for longer than a lease and the time after it. Machines whose leases are over are deleted before the leader decides on a handover, so that forgetting does not start the round again.

--- a/src/controller/controller-components.ts
+++ b/src/controller/controller-components.ts
@@ -218,7 +218,7 @@
       knownCancellationPeriod: (now) => cancellationCoordinator.knownCancellationPeriod(now),
       recentPeerCount: () => this.peerRegistry.countRecentlyHeard(clock.now()),
       handoverCandidates: () => this.handoverHistory.candidates(fencingToken, clock.now()),
-      onWorkersHeard: () => this.handoverHistory.onWorkersHeard(),
+      forgetHandovers: () => this.handoverHistory.forget(),
       resign: (reason) => this.election.resign(fencingToken, reason),
       raiseFencingToken: (reason) => this.election.raiseFencingToken(fencingToken, reason),
     });
--- a/src/controller/handover-history.ts
+++ b/src/controller/handover-history.ts
@@ -16,18 +16,18 @@
 
 /**
  * Keeps leaders from handing over to each other for ever. A leader that hands over adds itself to a stored
- * record, which names the controllers that have done so since one last heard workers. It outlives the terms,
- * and needs no connection between the controllers.
+ * record, which names the controllers that have done so one after the other. The record outlives the terms, and
+ * needs no connection between the controllers.
  */
 export class HandoverHistory {
-  /** First fencing token of the latest leadership of this controller in which it has heard workers. */
-  private heardWorkersUnder = 0;
+  /** First fencing token of this controller's latest leadership in which its predecessors were forgotten. */
+  private forgottenUnder = 0;
 
   constructor(private readonly options: HandoverHistoryOptions) {}
 
-  /** Called when most workers have shown that they receive what this leader sends to them. */
-  onWorkersHeard(): void {
-    this.heardWorkersUnder = this.options.leadership.firstToken;
+  /** Lets this leader hand over to any controller again, whether or not it has led just before. */
+  forget(): void {
+    this.forgottenUnder = this.options.leadership.firstToken;
   }
 
   /**
@@ -65,7 +65,7 @@
   /** The controllers that led directly before this one and handed over, the first of them first. */
   private predecessors(): readonly string[] {
     const { leadership, records, nodeName } = this.options;
-    if (this.heardWorkersUnder === leadership.firstToken) return [];
+    if (this.forgottenUnder === leadership.firstToken) return [];
     const last = records.handover();
     if (last?.fencingToken !== leadership.firstToken - 1) return [];
     return last.nodeNames.filter((other) => other !== nodeName);
--- a/src/scheduler/failure-detector.ts
+++ b/src/scheduler/failure-detector.ts
@@ -83,11 +83,19 @@
    */
   check(now: number): void {
     const summary = this.liveness.run(now);
-    if (summary.confirmed * 2 > summary.machines) this.options.onWorkersHeard();
+    if (this.areHandoversOutdated(summary)) this.options.forgetHandovers();
     this.updatePartitionedZones(findPartitionedZones(summary.zones));
     this.handleUnresponsive(summary);
   }
 
+  /**
+   * Whether it no longer matters which controllers handed over before: workers are heard again, or the machines
+   * of that time have been given up.
+   */
+  private areHandoversOutdated({ now, confirmed, machines }: LivenessSummary): boolean {
+    return confirmed * 2 > machines || now - this.state.leaderSince > this.leaseMs + LEASE_EXPIRY_GRACE_MS;
+  }
+
   private handleUnresponsive(summary: LivenessSummary): void {
     const { now, expired } = summary;
     if (this.doWorkersReachPeersOnly(summary) && this.options.handoverCandidates().total > 0) {
@@ -152,17 +160,17 @@
       this.selfSuspicion = { since: now, overdue: summary.machines - summary.live };
       this.logSuspicion(summary);
     }
+    // Machines whose lease has expired are deleted all the same: their tasks have ended in any case.
+    const pastLease = expired.filter((machine) => now > this.leaseOverAt(machine));
+    for (const machine of pastLease) this.actions.deleteMachine(machine, 'unresponsive past its lease');
     if (
+      pastLease.length === 0 &&
       now - this.selfSuspicion.since > this.heartbeatIntervalMs &&
       this.couldAnotherLeaderHearMore(summary)
     ) {
       this.selfSuspicion.since = now;
       this.options.resign('no heartbeats from any machine');
-      return;
     }
-    // Machines whose lease has expired are deleted all the same: their tasks have ended in any case.
-    for (const machine of expired)
-      if (now > this.leaseOverAt(machine)) this.actions.deleteMachine(machine, 'unresponsive past its lease');
   }
 
   /** Whether no machine reaches any other controller either, after enough time to turn to one. */
--- a/src/scheduler/scheduler-options.ts
+++ b/src/scheduler/scheduler-options.ts
@@ -54,8 +54,8 @@
   recentPeerCount(): number;
   /** The controllers that could lead instead of this one. */
   handoverCandidates(): HandoverCandidates;
-  /** Called when most workers have shown that they receive what this leader sends to them. */
-  onWorkersHeard(): void;
+  /** Called once it no longer matters which controllers handed over before this one's term. */
+  forgetHandovers(): void;
   /**
    * The latest cancellation coverage (the time up to which all stored cancellations have become stops)
    * computed by any leader, in times of this controller's clock; null: none is known.
--- a/test/lost-machines.test.ts
+++ b/test/lost-machines.test.ts
@@ -22,6 +22,8 @@
 /** The shortest interval at which a leader raises its fencing token. */
 const RAISE_INTERVAL_MS = 15_000;
 const SEEDS = [1, 2, 3];
+/** More machines than any test rents. */
+const FIRST_MACHINES = Array.from({ length: 60 }, (_, index) => `vm-${String(index + 1).padStart(6, '0')}`);
 const SHORT_LEASES = { heartbeatIntervalSeconds: 2, leaseSeconds: 20, cancellationSeconds: 40 };
 const FAST_HEARTBEATS = { heartbeatIntervalSeconds: 1, leaseSeconds: 20, cancellationSeconds: 40 };
 const SLOW_HEARTBEATS = { heartbeatIntervalSeconds: 10, leaseSeconds: 60, cancellationSeconds: 120 };
@@ -182,6 +184,20 @@
     expect(simulation.violations).toEqual([]);
   });
 
+  // Guards against a leader that keeps the leadership for good because all others have handed over before it.
+  test.each(SEEDS)('hands over to one that reaches the workers again (seed %i)', (seed) => {
+    const job = startJob(seed, makeConfig(2, LONG_LEASES), 4);
+    const { simulation } = job;
+    const [first, second] = [leaderOf(simulation), othersOf(simulation.nodeNames, leaderOf(simulation))[0]!];
+    cutFrom(simulation, first, [second, ...FIRST_MACHINES]);
+    cutFrom(simulation, second, FIRST_MACHINES);
+    expectWithin(simulation, MAX_RECOVERY_MS, () => isLeader(simulation, second));
+    for (const other of [second, ...FIRST_MACHINES]) simulation.network.heal(first, other);
+    expectWithin(simulation, MAX_RECOVERY_MS, () => isLeader(simulation, first));
+    expectAllTasksRunning(job, MAX_RECOVERY_MS);
+    expect(simulation.violations).toEqual([]);
+  });
+
   // Guards against a memory of earlier handovers that outlives the terms in which workers are heard.
   test.each(SEEDS)('hands over each time that it leads (seed %i)', (seed) => {
     const { simulation } = startJob(seed, makeConfig(2, LONG_LEASES), 4);
--- a/test/simulation/scheduler-harness.ts
+++ b/test/simulation/scheduler-harness.ts
@@ -115,7 +115,7 @@
       knownCancellationPeriod: (at) => ({ since: at, until: Number.NEGATIVE_INFINITY }),
       recentPeerCount: () => this.recentlyHeardPeers.count,
       handoverCandidates: () => this.handoverCandidates,
-      onWorkersHeard: () => {},
+      forgetHandovers: () => {},
       resign: (reason) => this.resignationReasons.push(reason),
       raiseFencingToken: (reason) => this.tokenRaiseReasons.push(reason),
     };
