Failure detector: workers that were never heard, but keep reaching peers, make the leader hand over

Seen (simulated clusters): a leader that was cut off from its workers before it had heard any rented machine after machine, returned each as not up in time, and never handed over, though the workers reached its peers; no job ran. Cause: only machines that are up or hold placements are evidence that the leader is cut off, and a machine is up once it is heard. Fix: a worker that was never heard, and that peers have redirected for 6 s or longer, counts as reaching peers only. A new worker that is redirected once reaches the leader within half a second. Such machines count for the handover alone.

--- a/src/scheduler/failure-detector.ts
+++ b/src/scheduler/failure-detector.ts
@@ -11,17 +11,13 @@
   LivenessCheck,
   type LivenessSummary,
   lastTwoWayContactAt,
+  REDIRECT_SETTLING_MS,
 } from './liveness-check.js';
 import { lastPossibleLeaseRenewalAt, type Machine } from './machine.js';
 import { findPartitionedZones } from './partitioned-zones.js';
 import type { FreeCapacity } from './placement/free-capacity.js';
 import type { SchedulerOptions } from './scheduler-options.js';
 
-/**
- * Time that a worker needs to turn to another controller after a missed response: to be redirected to a new
- * leader, or to show that it reaches a peer only.
- */
-const REDIRECT_SETTLING_MS = 6000;
 /**
  * Number of machines that may be unresponsive or redirected at once without this controller being suspected.
  */
@@ -73,7 +69,7 @@
     const now = this.options.clock.now();
     for (const name of names) {
       const machine = this.state.machines.get(name);
-      if (machine) machine.redirectedAt = now;
+      if (machine) this.liveness.recordRedirect(machine, now);
     }
   }
 
--- a/src/scheduler/liveness-check.ts
+++ b/src/scheduler/liveness-check.ts
@@ -13,6 +13,11 @@
  * Consecutive missed responses from which a machine counts as unresponsive although its heartbeats arrive.
  */
 const MISSED_RESPONSES_THRESHOLD = 2;
+/**
+ * Time that a worker needs to turn to another controller after a missed response: to be redirected to a new
+ * leader, or to show that it reaches a peer only.
+ */
+export const REDIRECT_SETTLING_MS = 6000;
 /** Tolerance for the redirection of a worker by a peer just before the worker reached this controller. */
 const REDIRECT_MARGIN_MS = 2000;
 /**
@@ -84,11 +89,29 @@
       zones: new Map(),
     };
     for (const machine of this.state.machines.values())
-      if (!machine.isBeingDeleted && (machine.isUp || machine.allocations.size > 0))
-        this.checkMachine(machine, summary);
+      if (machine.isBeingDeleted) continue;
+      else if (machine.isUp || machine.allocations.size > 0) this.checkMachine(machine, summary);
+      else if (this.keepsReachingPeers(machine, now)) countReachingPeers(summary);
     return summary;
   }
 
+  /** Records that a peer has redirected the machine's worker to this leader. */
+  recordRedirect(machine: Machine, now: number): void {
+    if (!this.wasRedirectedRecently(machine, now)) machine.redirectedSince = now;
+    machine.redirectedAt = now;
+  }
+
+  /**
+   * Whether a worker that was never heard here keeps turning to peers: a new worker that is redirected once
+   * reaches this leader soon after.
+   */
+  private keepsReachingPeers(machine: Machine, now: number): boolean {
+    return (
+      this.wasRedirectedRecently(machine, now) &&
+      machine.redirectedAt - machine.redirectedSince >= REDIRECT_SETTLING_MS
+    );
+  }
+
   private checkMachine(machine: Machine, summary: LivenessSummary): void {
     const { now } = summary;
     const zone = countInZone(machine.zone, summary);
@@ -125,11 +148,14 @@
   /** Whether a peer has redirected a machine recently, and since the given time of its last contact. */
   private isRedirected(machine: Machine, lastContactAt: number, now: number): boolean {
     return (
-      machine.redirectedAt > lastContactAt + REDIRECT_MARGIN_MS &&
-      now - machine.redirectedAt < REDIRECT_VALIDITY_PERIODS * this.probeAfterMs
+      machine.redirectedAt > lastContactAt + REDIRECT_MARGIN_MS && this.wasRedirectedRecently(machine, now)
     );
   }
 
+  private wasRedirectedRecently(machine: Machine, now: number): boolean {
+    return now - machine.redirectedAt < REDIRECT_VALIDITY_PERIODS * this.probeAfterMs;
+  }
+
   private probe(machine: Machine, now: number): void {
     if (machine.address !== '' && now - machine.directCommands.lastSentAt > PROBE_INTERVAL_MS)
       this.sendProbe(machine);
@@ -147,6 +173,13 @@
     : lastRenewalAt;
 }
 
+/** Counts a machine whose worker reaches peers and was never heard here. */
+function countReachingPeers(summary: LivenessSummary): void {
+  summary.machines++;
+  summary.redirected++;
+  summary.reachingPeers++;
+}
+
 function countLive(machine: Machine, summary: LivenessSummary): void {
   summary.live++;
   if (machine.hasCurrentToken) summary.confirmed++;
--- a/src/scheduler/machine.ts
+++ b/src/scheduler/machine.ts
@@ -61,6 +61,8 @@
   wasLeaseRenewed: boolean;
   /** When a peer last reported that it had redirected this machine. */
   redirectedAt: number;
+  /** When a peer first reported that, without a long pause until `redirectedAt`. */
+  redirectedSince: number;
   /** Whether the machine's worker has reported its status to this leader; never reset. */
   isUp: boolean;
   /**
@@ -118,6 +120,7 @@
     upSince: Number.NEGATIVE_INFINITY,
     wasLeaseRenewed: false,
     redirectedAt: Number.NEGATIVE_INFINITY,
+    redirectedSince: Number.NEGATIVE_INFINITY,
     isUp: false,
     hasCurrentToken: false,
     missedResponses: { count: 0, since: 0 },
--- a/test/lost-machines.test.ts
+++ b/test/lost-machines.test.ts
@@ -184,6 +184,16 @@
     expect(simulation.violations).toEqual([]);
   });
 
+  // Guards against a leader that rents machines one after the other whose workers reach only its peers.
+  test.each(SEEDS)('hands over although it has not heard any machine before (seed %i)', (seed) => {
+    const simulation = new ClusterSimulation(seed, makeConfig(3, LONG_LEASES));
+    runFor(simulation, 5000);
+    const leader = leaderOf(simulation);
+    cutFrom(simulation, leader, FIRST_MACHINES);
+    expectAllTasksRunning(submitJob(simulation, 4), MAX_RECOVERY_MS);
+    expect(simulation.violations).toEqual([]);
+  });
+
   // Guards against a leader that keeps the leadership for good because all others have handed over before it.
   test.each(SEEDS)('hands over to one that reaches the workers again (seed %i)', (seed) => {
     const job = startJob(seed, makeConfig(2, LONG_LEASES), 4);
