--- a/test/lost-machines.test.ts
+++ b/test/lost-machines.test.ts
@@ -29,11 +29,7 @@
 const SLOW_HEARTBEATS = { heartbeatIntervalSeconds: 10, leaseSeconds: 60, cancellationSeconds: 120 };
 const LONG_LEASES = { heartbeatIntervalSeconds: 6, leaseSeconds: 34, cancellationSeconds: 64 };
 
-interface RunningJob {
-  simulation: ClusterSimulation;
-  jobId: string;
-  taskCount: number;
-}
+type RunningJob = ReturnType<typeof submitJob>;
 
 function makeConfig(controllerCount: number, timing: typeof SHORT_LEASES): ClusterConfig {
   const nodeNames = Array.from({ length: controllerCount }, (_, index) => `c${index}`);
@@ -51,7 +47,7 @@
 }
 
 /** Submits a job each of whose tasks takes a machine of its own and runs until it is lost. */
-function submitJob(simulation: ClusterSimulation, taskCount: number): RunningJob {
+function submitJob(simulation: ClusterSimulation, taskCount: number) {
   simulation.bootsFaultyMachines = false;
   simulation.runDurationMs = () => RUN_SECONDS * 1000;
   const spec = makeJobSpec(simulation, {
@@ -79,8 +75,7 @@
 
 /** The highest fencing token that a controller knows. */
 function fencingToken({ nodeNames, controllers }: ClusterSimulation): number {
-  const tokens = nodeNames.map((name) => controllers.get(name)!.controller.status().leader.fencingToken);
-  return Math.max(...tokens);
+  return Math.max(...nodeNames.map((name) => controllers.get(name)!.controller.status().leader.fencingToken));
 }
 
 function othersOf(nodeNames: readonly string[], nodeName: string): string[] {
@@ -98,11 +93,9 @@
 }
 
 describe('all machines are lost at once', () => {
-  const cases = [1, 2, 3, 5].flatMap((controllers) =>
-    SEEDS.flatMap((seed) => [
-      { controllers, seed, timing: SHORT_LEASES },
-      { controllers, seed, timing: LONG_LEASES },
-    ]),
+  const clusters = [1, 2, 3, 5].flatMap((controllers) => SEEDS.map((seed) => ({ controllers, seed })));
+  const cases = [SHORT_LEASES, LONG_LEASES].flatMap((timing) =>
+    clusters.map((cluster) => ({ ...cluster, timing })),
   );
 
   // Guards against leaders that resign one after the other because no machine is heard, each before it has
@@ -134,13 +127,12 @@
 });
 
 describe('a leader that is cut off from its workers', () => {
+  const clusters = [3, 5].flatMap((controllers) => SEEDS.map((seed) => ({ controllers, seed })));
   const cases = [1, 2, 4].flatMap((machines) =>
-    [3, 5].flatMap((controllers) =>
-      SEEDS.flatMap((seed) => [
-        { machines, controllers, seed, others: 'its workers', cutPeers: false },
-        { machines, controllers, seed, others: 'its workers and its peers', cutPeers: true },
-      ]),
-    ),
+    clusters.flatMap((cluster) => [
+      { ...cluster, machines, others: 'its workers', cutPeers: false },
+      { ...cluster, machines, others: 'its workers and its peers', cutPeers: true },
+    ]),
   );
   const timings = [FAST_HEARTBEATS, SHORT_LEASES, LONG_LEASES];
 
