--- a/src/scheduler/cluster-state.ts
+++ b/src/scheduler/cluster-state.ts
@@ -10,7 +10,7 @@
 import type { Allocation } from './allocation.js';
 import { ExitedAttempts } from './exited-attempts.js';
 import { RentalBackoff } from './fleet/rental-backoff.js';
-import { createMachine, type Machine } from './machine.js';
+import { createMachine, lastPossibleLeaseRenewalAt, type Machine } from './machine.js';
 import type { FreeCapacity } from './placement/free-capacity.js';
 import type { SchedulerOptions } from './scheduler-options.js';
 import {
@@ -253,6 +253,14 @@
     return machine;
   }
 
+  /**
+   * The latest time at which a machine's lease may have been renewed, by this leader or, until this controller
+   * became the leader, by an earlier one.
+   */
+  latestLeaseRenewalAt(machine: Machine): number {
+    return Math.max(lastPossibleLeaseRenewalAt(machine), this.leaderSince);
+  }
+
   /** Invalidates the totals of a machine: the next refresh recomputes them, and a placement pass is due. */
   invalidateTotals(machine: Machine): void {
     this.fleetTotals.invalidateTotals(machine);
--- a/src/scheduler/failure-detector.ts
+++ b/src/scheduler/failure-detector.ts
@@ -13,7 +13,7 @@
   lastTwoWayContactAt,
   REDIRECT_SETTLING_MS,
 } from './liveness-check.js';
-import { lastPossibleLeaseRenewalAt, type Machine } from './machine.js';
+import type { Machine } from './machine.js';
 import { findPartitionedZones } from './partitioned-zones.js';
 import type { FreeCapacity } from './placement/free-capacity.js';
 import type { SchedulerOptions } from './scheduler-options.js';
@@ -194,13 +194,9 @@
     return total > 0 && (reachingPeers > 0 || reporting < total);
   }
 
-  /**
-   * When a machine's worker has certainly ended its tasks. An earlier leader may have renewed the lease until
-   * this controller became the leader.
-   */
+  /** When a machine's worker has certainly ended its tasks. */
   private leaseOverAt(machine: Machine): number {
-    const lastAliveAt = Math.max(lastPossibleLeaseRenewalAt(machine), this.state.leaderSince);
-    return lastAliveAt + this.leaseMs + LEASE_EXPIRY_GRACE_MS;
+    return this.state.latestLeaseRenewalAt(machine) + this.leaseMs + LEASE_EXPIRY_GRACE_MS;
   }
 
   private logSuspicion({ now, machines, live, answering, redirected, expired }: LivenessSummary): void {
--- a/src/scheduler/fleet/unreachable-machines.ts
+++ b/src/scheduler/fleet/unreachable-machines.ts
@@ -36,7 +36,7 @@
   shouldKeep(machine: Machine, capacities: FreeCapacity[], now: number): boolean {
     this.replicasToReplace.delete(machine.name);
     const { leaseSeconds, cancellationSeconds } = this.options.workerTiming;
-    const unresponsiveMs = now - Math.max(lastPossibleLeaseRenewalAt(machine), this.state.leaderSince);
+    const unresponsiveMs = now - this.state.latestLeaseRenewalAt(machine);
     // In a partitioned zone a controller inside the zone may keep replicas alive, and they could not be
     // placed elsewhere. Until `cancellationSeconds` are over and they have ended in any case, deleting
     // their machine would only end them earlier.
--- a/src/scheduler/liveness-check.ts
+++ b/src/scheduler/liveness-check.ts
@@ -88,10 +88,11 @@
       expired: [],
       zones: new Map(),
     };
-    for (const machine of this.state.machines.values())
+    for (const machine of this.state.machines.values()) {
       if (machine.isBeingDeleted) continue;
-      else if (machine.isUp || machine.allocations.size > 0) this.checkMachine(machine, summary);
+      if (machine.isUp || machine.allocations.size > 0) this.checkMachine(machine, summary);
       else if (this.keepsReachingPeers(machine, now)) countReachingPeers(summary);
+    }
     return summary;
   }
 
--- a/src/scheduler/partitioned-zones.ts
+++ b/src/scheduler/partitioned-zones.ts
@@ -13,11 +13,11 @@
 export function findPartitionedZones(zones: ReadonlyMap<string, ZoneCount>): string[] {
   // The zone of a machine is empty until a heartbeat or the cloud's list names it.
   const known = [...zones].filter(([zone]) => zone !== '');
-  const silent = known
+  const silentZones = known
     .filter(
       ([, { silent, total }]) =>
         total >= MIN_MACHINES_OF_PARTITIONED_ZONE && silent > total * PARTITIONED_ZONE_SHARE,
     )
     .map(([zone]) => zone);
-  return silent.length < known.length ? silent : [];
+  return silentZones.length < known.length ? silentZones : [];
 }
--- a/src/scheduler/worker-contacts.ts
+++ b/src/scheduler/worker-contacts.ts
@@ -5,15 +5,8 @@
 
 import { lastPossibleLeaseRenewalAt, type Machine } from './machine.js';
 
-/**
- * The last contact with one worker, as in {@link Machine}; `lastHeartbeatAt` is minus infinity before the first
- * heartbeat.
- */
-export interface WorkerContact {
-  address: string;
-  lastHeardAt: number;
-  lastHeartbeatAt: number;
-}
+/** The last contact with one worker. */
+export type WorkerContact = Pick<Machine, 'address' | 'lastHeardAt' | 'lastHeartbeatAt'>;
 
 /** What a leader knows of the workers when its term ends. */
 export interface WorkerContacts {
--- a/test/lost-machines.test.ts
+++ b/test/lost-machines.test.ts
@@ -265,9 +265,8 @@
     const firstToken = fencingToken(simulation);
     const unreachable = new Set(simulation.workers.values());
     for (const { name } of unreachable) simulation.network.unreachableInbound.add(name);
-    const workersElsewhere = () =>
-      workersOfJob(simulation, jobId).filter((worker) => !unreachable.has(worker));
-    expectWithin(simulation, MAX_RECOVERY_MS, () => workersElsewhere().length === 4);
+    const otherWorkers = () => workersOfJob(simulation, jobId).filter((worker) => !unreachable.has(worker));
+    expectWithin(simulation, MAX_RECOVERY_MS, () => otherWorkers().length === 4);
     expect(fencingToken(simulation) - firstToken).toBeLessThanOrEqual(2);
     expect(simulation.violations).toEqual([]);
   });
