--- /dev/null
+++ b/review/4/case.mjs
@@ -0,0 +1,33 @@
+// Two jobs that were submitted with a mistake fail on each machine and are cancelled. With TROUBLE=0 they run.
+import { runCase, trivediMaps, watchWaiting } from '../lib-2/world.mjs';
+import { sleep } from '../lib-2/http.mjs';
+
+const isMistaken = process.env.TROUBLE !== '0';
+const LONG = 'wk-000001';
+const MISTAKEN = ['wk-000002', 'wk-000003'];
+const MACHINES = 3;
+
+const options = trivediMaps({ upAtStart: MACHINES });
+for (const type of options.types) type.capacity = { 'sabarmati-rack/ordinary': type.label === 'gaddi' ? MACHINES : 0 };
+
+await runCase(options, async (world) => {
+  const submit = async (fields) => {
+    const answer = await world.submit(world.job(fields));
+    if (answer.status !== 201) throw new Error(`${fields.name_id} not accepted`);
+  };
+  await world.waitReady();
+  // One long task on each machine, which leaves 12 CPUs there.
+  await submit({ name_id: LONG, saplings: MACHINES, vcpus: 20, ram_gb: 20, growth_s: 300, runS: 300 });
+  await world.waitFor(() => world.countOn(LONG) === MACHINES, 20, 'the long tasks');
+  for (const name_id of MISTAKEN) await submit({ name_id, vcpus: 4, ram_gb: 4.3, growth_s: 5, runS: 5, isMistaken });
+  await sleep(6000);
+  // The users cancel them: from here on there is no trouble.
+  if (isMistaken) for (const jobId of MISTAKEN) await world.abort(jobId);
+  await submit({ name_id: 'wk-000004', saplings: 2, vcpus: 4, ram_gb: 4.3, growth_s: 5, runS: 5 });
+  await submit({
+    name_id: 'wk-000005', grove: 'kiosk-mapserve', shape: 'standing', rank: 'prod', vcpus: 4, ram_gb: 4.2, growth_s: 0,
+  });
+  await watchWaiting(world, ['wk-000004', 'wk-000005']);
+  for (const jobId of world.jobs.keys()) await world.poll(jobId);
+  return world.violations.length > 0;
+});
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -272,10 +272,18 @@
   run(task, job) {
     task.phase = 'running';
     this.hasChange = true;
+    if (job.isMistaken) {
+      this.later(task, 300, () => this.exit(task, 'error'));
+      return;
+    }
     if (job.shape === 'standing' || job.runS === undefined) return;
     this.later(task, job.runS * 1000, () => {
       if (task.phase !== 'running') return;
-      for (const member of job.shape === 'group' ? this.world.gang(task) : [task]) {
+      const members = job.shape === 'group' ? this.world.gang(task) : [task];
+      const isWhole = members.length === (job.shape === 'group' ? job.saplings : 1);
+      if (!isWhole || members.some(({ phase, worker }) => phase !== 'running' || worker.isHung))
+        return this.exit(task, 'mates_gone');
+      for (const member of members) {
         this.world.completed.add(member.key);
         member.worker.exit(member, 'done');
       }
--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -133,7 +133,7 @@
     table('workers', options.workers);
     table('state', options.state);
     table('cloud', options.cloud);
-    table('limits', { core_share: 0.425, mem_mb: 306.0, fd_limit: 3000 });
+    table('limits', options.limits);
     node.settings = path.join(this.dir, `${node.name}.toml`);
     fs.writeFileSync(node.settings, `${lines.join('\n')}\n`);
   }
@@ -277,6 +277,23 @@
     this.violation('ran_cancelled', `${task.key} on ${task.worker.name} ${((now - at) / 1000).toFixed(1)} s after its cancellation was confirmed`);
   }
 
+  /** A machine that is up, that the job allows and that has room for one more of its tasks; undefined if none. */
+  machineWithRoom(job) {
+    return [...this.cloud.machines.values()].find(({ upAt, goneAt, worker }) => {
+      if (!upAt || goneAt || !worker.isAlive || (worker.windfall && !job.windfall)) return false;
+      if (job.barks && !job.barks.includes(worker.type.label)) return false;
+      if (job.slope && job.slope !== worker.slope) return false;
+      let vcpus = worker.type.vcpus;
+      let ram = worker.type.ram_gb;
+      for (const task of worker.tasks.values()) {
+        if (task.phase === 'ended') continue;
+        vcpus -= this.jobs.get(task.jobId).vcpus;
+        ram -= this.jobs.get(task.jobId).ram_gb;
+      }
+      return vcpus >= job.vcpus && ram >= job.ram_gb;
+    });
+  }
+
   countOn(jobId) {
     let count = 0;
     for (const [key, tasks] of this.onMachines) if (key.startsWith(`${jobId}/`)) count += tasks.size;
@@ -303,7 +320,7 @@
     return answer;
   }
 
-  submitBody({ runS: _, ...body }) {
+  submitBody({ runS: _, isMistaken: __, ...body }) {
     return body;
   }
 
@@ -357,6 +374,7 @@
     workers: { report_s: 3.0, lease_s: 34.0, gang_wait_s: 40.0, gang_peer_s: 6.0, cancel_s: 64.0 },
     state: { rps: 150.0, write_rps: 60.0, value_kb: 16.0, txn_ops: 32 },
     cloud: { rps: 6.0, list_lag_s: 6.0 },
+    limits: { core_share: 0.425, mem_mb: 306.0, fd_limit: 3000 },
     types: [
       {
         label: 'gaddi', vcpus: 32, cards: 0, ram_gb: 256, cache_gb: 100, pull_gb_per_s: 0.5, hourly: 1.97,
@@ -372,6 +390,59 @@
   };
 }
 
+/** Settings, teams and machine type of the site bhuj-relief-works, with fewer machines. */
+export function bhujReliefWorks({ machinesPerZone, ...overrides }) {
+  const slopes = ['bhuj-hall', 'narmada-row'];
+  const capacity = Object.fromEntries(slopes.map((slope) => [`${slope}/ordinary`, machinesPerZone]));
+  return {
+    zones: slopes,
+    teams: [
+      { name: 'kutch-survey', cpus: 2000, cpus_max: 7000 },
+      { name: 'hazard-desk', cpus: 1200, cpus_max: 3500 },
+      { name: 'bandhani-print', cpus: 1500, cpus_max: 3500 },
+      { name: 'patrol-liaison', cpus: 900, cpus_max: 2500 },
+    ],
+    workers: { report_s: 3.0, lease_s: 21.0, gang_wait_s: 50.0, gang_peer_s: 6.0, cancel_s: 46.0 },
+    state: { rps: 120.0, write_rps: 20.0, value_kb: 16.0, txn_ops: 16 },
+    cloud: { rps: 8.0, list_lag_s: 3.0 },
+    limits: { core_share: 0.255, mem_mb: 242.0, fd_limit: 1500 },
+    types: [
+      {
+        label: 'rann-sixteen', vcpus: 16, cards: 0, ram_gb: 128, cache_gb: 70, pull_gb_per_s: 0.25, hourly: 1.31,
+        spot_price: 0.52, ready_s: 50, slopes, capacity,
+      },
+    ],
+    ...overrides,
+  };
+}
+
+/** Settings and teams of the site rekrut-szkoly, with `orzel` machines only. */
+export function rekrutSzkoly({ inKrakow, inWroclaw, ...overrides }) {
+  const slopes = ['krakow-dc', 'wroclaw-dc'];
+  const capacity = { 'krakow-dc/ordinary': inKrakow, 'wroclaw-dc/ordinary': inWroclaw };
+  return {
+    zones: slopes,
+    teams: [
+      { name: 'szkoly', cpus: 112, cpus_max: 288 },
+      { name: 'rodzice', cpus: 112, cpus_max: 384 },
+      { name: 'dane', cpus: 80, cpus_max: 136 },
+      { name: 'listy', cpus: 96, cpus_max: 288 },
+      { name: 'platforma', cpus: 80, cpus_max: 176 },
+    ],
+    workers: { report_s: 3.0, lease_s: 34.0, gang_wait_s: 30.0, gang_peer_s: 4.0, cancel_s: 64.0 },
+    state: { rps: 150.0, write_rps: 50.0, value_kb: 8.0, txn_ops: 24 },
+    cloud: { rps: 3.0, list_lag_s: 10.0 },
+    limits: { core_share: 0.136, mem_mb: 114.0, fd_limit: 800 },
+    types: [
+      {
+        label: 'orzel', vcpus: 64, cards: 0, ram_gb: 256, cache_gb: 40, pull_gb_per_s: 0.2, hourly: 2.59,
+        spot_price: 1.01, ready_s: 25, slopes, capacity,
+      },
+    ],
+    ...overrides,
+  };
+}
+
 /**
  * Runs a case: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run.
  */
@@ -393,3 +464,32 @@
   console.log(code === 1 ? 'BROKEN' : code === 0 ? 'held' : 'could not run');
   process.exit(code);
 }
+
+/**
+ * Watches jobs that have not started. Breaks `left-waiting` for a job that waits for 90 s on end while a machine
+ * that fits has room. Returns once all have started or have been reported.
+ */
+export async function watchWaiting(world, jobIds, { limitS = 90, note = () => '' } = {}) {
+  const since = new Map(jobIds.map((id) => [id, performance.now()]));
+  const until = performance.now() + (limitS + 3) * 1000;
+  let nextLineAt = 0;
+  while (performance.now() < until && since.size > 0) {
+    const now = performance.now();
+    for (const [jobId, from] of [...since]) {
+      const job = world.jobs.get(jobId);
+      const machine = world.machineWithRoom(job);
+      if (world.runs.has(jobId)) since.delete(jobId);
+      else if (!machine) since.set(jobId, now);
+      else if (now - from > limitS * 1000) {
+        since.delete(jobId);
+        world.violation('left-waiting', `${jobId} has waited ${limitS} s while a machine that fits had room (now ${machine.name}); its team uses ${world.usage.get(job.crew) ?? 0} CPUs${note(job)}`);
+      }
+    }
+    if (now >= nextLineAt) {
+      nextLineAt = now + 5000;
+      const up = [...world.cloud.machines.values()].filter(({ upAt, goneAt }) => upAt && !goneAt).length;
+      world.record(`machines up: ${up}; starts: ${[...world.jobs.keys()].map((id) => `${id} ${world.runs.get(id) ?? 0}`).join(', ')}`);
+    }
+    await new Promise((resolve) => setTimeout(resolve, 200));
+  }
+}
