--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -20,9 +20,13 @@
   await submit({ name_id: LONG, saplings: MACHINES, vcpus: 20, ram_gb: 20, growth_s: 300, runS: 300 });
   await world.waitFor(() => world.countOn(LONG) === MACHINES, 20, 'the long tasks');
   for (const name_id of MISTAKEN) await submit({ name_id, vcpus: 4, ram_gb: 4.3, growth_s: 5, runS: 5, isMistaken });
-  await sleep(6000);
-  // The users cancel them: from here on there is no trouble.
-  if (isMistaken) for (const jobId of MISTAKEN) await world.abort(jobId);
+  if (isMistaken) {
+    const hasFailedEverywhere = () => MISTAKEN.every((jobId) => (world.runs.get(jobId) ?? 0) >= MACHINES);
+    await world.waitFor(hasFailedEverywhere, 12, 'both jobs have failed on each machine').catch(() => {});
+    await sleep(2000);
+    // The users cancel them: from here on there is no trouble.
+    for (const jobId of MISTAKEN) await world.abort(jobId);
+  } else await sleep(6000);
   await submit({ name_id: 'wk-000004', saplings: 2, vcpus: 4, ram_gb: 4.3, growth_s: 5, runS: 5 });
   await submit({
     name_id: 'wk-000005', grove: 'kiosk-mapserve', shape: 'standing', rank: 'prod', vcpus: 4, ram_gb: 4.2, growth_s: 0,
