--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,40 +1,75 @@
-// The machines fail every task that they start, for some seconds, and a job of one task is submitted meanwhile.
-// With TROUBLE=0 no machine does.
+// All machines fail every task that they start, for some seconds. Jobs of one task are submitted meanwhile, one after
+// the other, each for a machine type of its own; those that are started four times are cancelled by their user.
+// With TROUBLE=0 no machine fails anything.
 import { sleep } from '../lib-2/http.mjs';
-import { runCase, trivediMaps, watchWaiting } from '../lib-2/world.mjs';
+import { rekrutSzkoly, runCase, watchWaiting } from '../lib-2/world.mjs';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-const TROUBLE_S = 12;
-const KIOSK = 'wk-000001';
-const JOB = 'wk-000002';
+const MACHINES_PER_TYPE = 5;
+const JOBS = ['wk-000011', 'wk-000012', 'wk-000013'];
+/** Starts after which the next pause of the service would take too long for this script. */
+const MAX_STARTS = 4;
+/** No further start for this long after the last one: longer than the pauses before it. */
+const STILL_AFTER_MS = [3000, 3000, 4000, 6000];
 
-await runCase(trivediMaps(), async (world) => {
+const options = rekrutSzkoly({ inKrakow: 10, inWroclaw: 0 });
+const type = (label, vcpus, ram_gb) => ({ ...options.types[0], label, vcpus, ram_gb, slopes: ['krakow-dc'], pull_gb_per_s: 0.5 });
+options.types = [type('wrobel', 4, 8), type('sroka', 16, 64), type('orzel', 64, 256)];
+
+/** Whether the job stands still before it has been started `MAX_STARTS` times. */
+async function standsStill(world, jobId) {
+  let starts = 0;
+  let lastAt = performance.now();
+  for (;;) {
+    const now = performance.now();
+    if (world.completed.has(`${jobId}/0`)) return false;
+    if ((world.runs.get(jobId) ?? 0) > starts) {
+      starts = world.runs.get(jobId);
+      lastAt = now;
+    }
+    if (starts >= MAX_STARTS) return false;
+    if (now - lastAt > STILL_AFTER_MS[starts]) return true;
+    await sleep(50);
+  }
+}
+
+await runCase(options, async (world) => {
   const submit = async (fields) => {
-    const answer = await world.submit(world.job({ barks: ['gaddi'], ...fields }));
+    const answer = await world.submit(world.job({ crew: 'dane', ...fields }));
     if (answer.status !== 201) throw new Error(`${fields.name_id} not accepted`);
   };
+  for (const machineType of options.types)
+    for (let index = 0; index < MACHINES_PER_TYPE; index++) await world.cloud.create(machineType, 'krakow-dc', false, 0);
   await world.waitReady();
-  // A replica keeps one of the machines up, with 28 free CPUs.
-  await submit({
-    name_id: KIOSK, grove: 'kiosk-mapserve', shape: 'standing', rank: 'prod', vcpus: 4, ram_gb: 4.2, growth_s: 0, seed: 'img-2',
-  });
-  await world.waitFor(() => world.countOn(KIOSK) === 1, 20, 'the replica');
-  await sleep(2000);
-  const machines = [...world.cloud.machines.values()];
+  // A replica keeps one machine of each type up, with room.
+  for (const [index, { label }] of options.types.entries())
+    await submit({
+      name_id: `wk-00000${index + 1}`, grove: 'portal-web', shape: 'standing', rank: 'prod', vcpus: 2, ram_gb: 3.7, growth_s: 0,
+      barks: [label], seed: 'img-2',
+    });
+  await world.waitFor(() => [1, 2, 3].every((index) => world.countOn(`wk-00000${index}`) === 1), 12, 'the replicas');
+  await sleep(1000);
   const setFaulty = (isFaulty) => {
-    for (const { worker } of machines) worker.isFaulty = isFaulty;
+    for (const { worker } of world.cloud.machines.values()) worker.isFaulty = isFaulty;
     world.record(isFaulty ? 'trouble: the machines fail every task that they start' : 'the trouble is over');
   };
   if (hasTrouble) setFaulty(true);
-  await submit({ name_id: JOB, vcpus: 4, ram_gb: 4.3, growth_s: 5, runS: 5 });
-  await sleep(TROUBLE_S * 1000);
-  if (hasTrouble) setFaulty(false);
-  const failed = world.runs.get(JOB) ?? 0;
-  world.record(`${JOB} was started ${failed} times so far`);
-  if (world.completed.has(`${JOB}/0`) || world.countOn(JOB) > 0) return false;
-  // Only a start from here on counts.
-  world.runs.delete(JOB);
-  await watchWaiting(world, [JOB]);
-  await world.poll(JOB);
-  return world.violations.length > 0;
+  for (const [index, { label }] of options.types.entries()) {
+    const jobId = JOBS[index];
+    await submit({ name_id: jobId, grove: 'ranking-run', rank: 'urgent', vcpus: 1, ram_gb: 1.5, growth_s: 3, runS: 3, barks: [label] });
+    if (await standsStill(world, jobId)) {
+      setFaulty(false);
+      world.record(`${jobId} was started ${world.runs.get(jobId) ?? 0} times so far`);
+      // Only a start from here on counts.
+      world.runs.delete(jobId);
+      await watchWaiting(world, [jobId]);
+      await world.poll(jobId);
+      return world.violations.length > 0;
+    }
+    if (hasTrouble) {
+      await world.abort(jobId);
+      await sleep(1200);
+    }
+  }
+  return false;
 });
