--- a/review/lib-2/world.mjs
+++ b/review/lib-2/world.mjs
@@ -394,32 +394,6 @@
   };
 }
 
-/** Settings, teams and machine type of the site bhuj-relief-works, with fewer machines. */
-export function bhujReliefWorks({ machinesPerZone, ...overrides }) {
-  const slopes = ['bhuj-hall', 'narmada-row'];
-  const capacity = Object.fromEntries(slopes.map((slope) => [`${slope}/ordinary`, machinesPerZone]));
-  return {
-    zones: slopes,
-    teams: [
-      { name: 'kutch-survey', cpus: 2000, cpus_max: 7000 },
-      { name: 'hazard-desk', cpus: 1200, cpus_max: 3500 },
-      { name: 'bandhani-print', cpus: 1500, cpus_max: 3500 },
-      { name: 'patrol-liaison', cpus: 900, cpus_max: 2500 },
-    ],
-    workers: { report_s: 3.0, lease_s: 21.0, gang_wait_s: 50.0, gang_peer_s: 6.0, cancel_s: 46.0 },
-    state: { rps: 120.0, write_rps: 20.0, value_kb: 16.0, txn_ops: 16 },
-    cloud: { rps: 8.0, list_lag_s: 3.0 },
-    limits: { core_share: 0.255, mem_mb: 242.0, fd_limit: 1500 },
-    types: [
-      {
-        label: 'rann-sixteen', vcpus: 16, cards: 0, ram_gb: 128, cache_gb: 70, pull_gb_per_s: 0.25, hourly: 1.31,
-        spot_price: 0.52, ready_s: 50, slopes, capacity,
-      },
-    ],
-    ...overrides,
-  };
-}
-
 /** Settings and teams of the site rekrut-szkoly, with `orzel` machines only. */
 export function rekrutSzkoly({ inKrakow, inWroclaw, ...overrides }) {
   const slopes = ['krakow-dc', 'wroclaw-dc'];
